--- /dev/null
+++ b/crates/agreement/src/lib.rs
@@ -0,0 +1,1 @@
+//! agreement
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! control
--- /dev/null
+++ b/crates/model/src/access.rs
@@ -0,0 +1,15 @@
+//! Who may use a route.
+
+use serde::{Deserialize, Serialize};
+
+use crate::name;
+
+/// Who may use a route.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Access {
+    /// Every caller, with or without a key.
+    Open,
+    /// Callers with a key of one of these teams.
+    Teams(Vec<name::Name>),
+}
--- /dev/null
+++ b/crates/model/src/check.rs
@@ -0,0 +1,251 @@
+//! Check of a whole configuration.
+
+use std::fmt::Display;
+use std::ops::RangeInclusive;
+
+use crate::{access, code, configuration, finding, kind, map, name, secret};
+
+/// Requests per second that a limit may state.
+pub const RATE_PER_SECOND: RangeInclusive<f64> = 0.1..=1_000_000.0;
+/// Requests that a limit may let through at once.
+pub const BURST: RangeInclusive<u32> = 1..=1_000_000;
+/// Weight of a team.
+pub const WEIGHT: RangeInclusive<u16> = 1..=1_000;
+/// Timeout of a route in milliseconds.
+pub const TIMEOUT_MS: RangeInclusive<u128> = 10..=600_000;
+/// Retry credit of a route.
+pub const RETRIES: RangeInclusive<u8> = 0..=10;
+/// Number of priorities.
+pub const MAX_PRIORITIES: usize = 32;
+
+/// Collects the findings on one object.
+struct Report<'a> {
+    findings: &'a mut Vec<finding::Finding>,
+    kind: kind::Kind,
+    name: &'a name::Name,
+}
+
+impl Report<'_> {
+    fn add(&mut self, code: code::Code, field: &str, detail: impl Into<Box<str>>) {
+        self.findings.push(finding::Finding {
+            code,
+            kind: self.kind,
+            name: self.name.clone(),
+            field: field.into(),
+            detail: detail.into(),
+        });
+    }
+
+    fn range<T: PartialOrd + Display>(
+        &mut self,
+        field: &str,
+        value: &T,
+        range: &RangeInclusive<T>,
+    ) {
+        if !range.contains(value) {
+            let detail = format!("{value} is not in {} to {}", range.start(), range.end());
+            self.add(code::Code::OutOfRange, field, detail);
+        }
+    }
+
+    fn reference(&mut self, field: &str, kind: kind::Kind, wanted: &name::Name, names: &Names<'_>) {
+        if !names.contains(&(kind, wanted)) {
+            let detail = format!("no {kind} is named {wanted}");
+            self.add(code::Code::DanglingName, field, detail);
+        }
+    }
+
+    fn valid_name(&mut self, field: &str, value: &name::Name) {
+        if !value.is_valid() {
+            let detail = format!("{value:?} is not 1 to 63 characters of a-z, 0-9 and -");
+            self.add(code::Code::BadName, field, detail);
+        }
+    }
+}
+
+/// Every kind and name of the set.
+type Names<'a> = map::Set<(kind::Kind, &'a name::Name)>;
+
+/// Checks a whole configuration and returns every fault, none if it may be
+/// published.
+#[must_use]
+pub fn check(set: &configuration::Configuration) -> Vec<finding::Finding> {
+    let mut findings = Vec::new();
+    let names = check_names(set, &mut findings);
+    check_priorities(set, &names, &mut findings);
+    check_limits(set, &mut findings);
+    check_teams(set, &names, &mut findings);
+    check_keys(set, &names, &mut findings);
+    check_routes(set, &names, &mut findings);
+    findings
+}
+
+fn check_names<'a>(
+    set: &'a configuration::Configuration,
+    findings: &mut Vec<finding::Finding>,
+) -> Names<'a> {
+    let priorities = set.priorities.iter().map(|entry| &entry.name);
+    let limits = set.limits.iter().map(|entry| &entry.name);
+    let teams = set.teams.iter().map(|entry| &entry.name);
+    let keys = set.keys.iter().map(|entry| &entry.name);
+    let routes = set.routes.iter().map(|entry| &entry.name);
+    let all = priorities
+        .map(|name| (kind::Kind::Priority, name))
+        .chain(limits.map(|name| (kind::Kind::Limit, name)))
+        .chain(teams.map(|name| (kind::Kind::Team, name)))
+        .chain(keys.map(|name| (kind::Kind::Key, name)))
+        .chain(routes.map(|name| (kind::Kind::Route, name)));
+    let mut names = Names::default();
+    for (kind, name) in all {
+        let mut report = Report {
+            findings,
+            kind,
+            name,
+        };
+        report.valid_name("name", name);
+        if !names.insert((kind, name)) {
+            report.add(code::Code::DuplicateName, "name", "the name is used twice");
+        }
+    }
+    names
+}
+
+fn check_priorities(
+    set: &configuration::Configuration,
+    names: &Names<'_>,
+    findings: &mut Vec<finding::Finding>,
+) {
+    let below: map::Map<_, _> = set
+        .priorities
+        .iter()
+        .map(|entry| (&entry.name, entry.below.as_ref()))
+        .collect();
+    let mut lower = map::Map::<Option<&name::Name>, &name::Name>::default();
+    for entry in &set.priorities {
+        let mut report = Report {
+            findings,
+            kind: kind::Kind::Priority,
+            name: &entry.name,
+        };
+        if let Some(higher) = &entry.below {
+            report.reference("below", kind::Kind::Priority, higher, names);
+        }
+        if in_cycle(&entry.name, &below) {
+            report.add(code::Code::Cycle, "below", "the priority is above itself");
+        }
+        if let Some(other) = lower.insert(entry.below.as_ref(), &entry.name) {
+            let detail = format!("{other} has the same place in the order");
+            report.add(code::Code::DuplicateName, "below", detail);
+        }
+        if set.priorities.len() > MAX_PRIORITIES {
+            let detail = format!("more than {MAX_PRIORITIES} priorities");
+            report.add(code::Code::OutOfRange, "name", detail);
+        }
+    }
+}
+
+/// Whether following `below` from `start` comes back to `start`.
+fn in_cycle(start: &name::Name, below: &map::Map<&name::Name, Option<&name::Name>>) -> bool {
+    let mut current = start;
+    for _ in 0..=below.len() {
+        match below.get(current).copied().flatten() {
+            Some(next) if next == start => return true,
+            Some(next) => current = next,
+            None => return false,
+        }
+    }
+    false
+}
+
+fn check_limits(set: &configuration::Configuration, findings: &mut Vec<finding::Finding>) {
+    for entry in &set.limits {
+        let mut report = Report {
+            findings,
+            kind: kind::Kind::Limit,
+            name: &entry.name,
+        };
+        report.range("rate_per_second", &entry.rate_per_second, &RATE_PER_SECOND);
+        report.range("burst", &entry.burst, &BURST);
+    }
+}
+
+fn check_teams(
+    set: &configuration::Configuration,
+    names: &Names<'_>,
+    findings: &mut Vec<finding::Finding>,
+) {
+    for entry in &set.teams {
+        let mut report = Report {
+            findings,
+            kind: kind::Kind::Team,
+            name: &entry.name,
+        };
+        report.reference("limit", kind::Kind::Limit, &entry.limit, names);
+        report.range("weight", &entry.weight, &WEIGHT);
+    }
+}
+
+fn check_keys(
+    set: &configuration::Configuration,
+    names: &Names<'_>,
+    findings: &mut Vec<finding::Finding>,
+) {
+    let mut ids = map::Map::<[u8; secret::ID_BYTES], &name::Name>::default();
+    for entry in &set.keys {
+        let mut report = Report {
+            findings,
+            kind: kind::Kind::Key,
+            name: &entry.name,
+        };
+        report.reference("team", kind::Kind::Team, &entry.team, names);
+        if let Some(other) = ids.insert(entry.id, &entry.name) {
+            let detail = format!("key {other} has the same id");
+            report.add(code::Code::DuplicateName, "id", detail);
+        }
+    }
+}
+
+fn check_routes(
+    set: &configuration::Configuration,
+    names: &Names<'_>,
+    findings: &mut Vec<finding::Finding>,
+) {
+    let mut paths = map::Map::<&str, &name::Name>::default();
+    for entry in &set.routes {
+        let mut report = Report {
+            findings,
+            kind: kind::Kind::Route,
+            name: &entry.name,
+        };
+        report.valid_name("service", &entry.service);
+        report.reference("priority", kind::Kind::Priority, &entry.priority, names);
+        if let access::Access::Teams(teams) = &entry.access {
+            for team in teams {
+                report.reference("access", kind::Kind::Team, team, names);
+            }
+        }
+        report.range("timeout_ms", &entry.timeout.as_millis(), &TIMEOUT_MS);
+        report.range("retries", &entry.retries, &RETRIES);
+        check_path(&entry.path, &mut report);
+        if let Some(other) = paths.insert(entry.path.trim_end_matches('/'), &entry.name) {
+            let detail = format!("route {other} has the same path");
+            report.add(code::Code::DuplicateName, "path", detail);
+        }
+    }
+}
+
+fn check_path(path: &str, report: &mut Report<'_>) {
+    let clean = |segment: &str| !segment.is_empty() && segment != "." && segment != "..";
+    let whole = path == "/"
+        || path
+            .strip_prefix('/')
+            .is_some_and(|rest| rest.split('/').all(clean));
+    if !whole
+        || path
+            .bytes()
+            .any(|byte| !byte.is_ascii_graphic() || b"?#%".contains(&byte))
+    {
+        let detail = format!("{path:?} is not an absolute path of plain segments");
+        report.add(code::Code::OutOfRange, "path", detail);
+    }
+}
--- /dev/null
+++ b/crates/model/src/directory.rs
@@ -0,0 +1,304 @@
+//! A view compiled for look-ups on the request path.
+
+use std::time::Duration;
+
+use slotmap::{SlotMap, new_key_type};
+
+use crate::{access, map, name, node, secret, target, version, view};
+
+new_key_type! {
+    /// Copyable key of a team.
+    pub struct TeamKey;
+    /// Copyable key of a caller's key.
+    pub struct CredentialKey;
+    /// Copyable key of a route.
+    pub struct RouteKey;
+    /// Copyable key of a service.
+    pub struct ServiceKey;
+    /// Copyable key of a node.
+    pub struct NodeKey;
+    /// Copyable key of a target.
+    pub struct TargetKey;
+}
+
+/// A team with its resolved limit.
+#[derive(Clone, Debug)]
+pub struct Team {
+    /// Name of the team.
+    pub name: name::Name,
+    /// Fleet-wide requests per second.
+    pub rate_per_second: f64,
+    /// Fleet-wide burst.
+    pub burst: u32,
+    /// Weight within a priority.
+    pub weight: u16,
+}
+
+/// A caller's key with its resolved team.
+#[derive(Clone, Debug)]
+pub struct Credential {
+    /// Name of the key.
+    pub name: name::Name,
+    /// Team for which requests run.
+    pub team: TeamKey,
+    /// Hash of the secret.
+    pub hash: [u8; 32],
+    /// Whether the key is withdrawn.
+    pub withdrawn: bool,
+}
+
+/// A route with its resolved references.
+#[derive(Clone, Debug)]
+pub struct Route {
+    /// Name of the route.
+    pub name: name::Name,
+    /// Service of the route.
+    pub service: ServiceKey,
+    /// Rank of the priority: 0 is the highest.
+    pub rank: u8,
+    /// Teams that may use it; `None` on routes open to all.
+    pub teams: Option<map::Set<TeamKey>>,
+    /// Whether a request may run more than once without harm.
+    pub idempotent: bool,
+    /// Longest time for a request.
+    pub timeout: Duration,
+    /// Retry credit of a call tree.
+    pub retries: u8,
+}
+
+/// A service and its targets.
+#[derive(Clone, Debug)]
+pub struct Service {
+    /// Name of the service.
+    pub name: name::Name,
+    /// Its targets on all nodes, draining ones included.
+    pub targets: Vec<TargetKey>,
+}
+
+/// A target with its resolved node.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Service of the target.
+    pub service: ServiceKey,
+    /// Node beside it.
+    pub node: NodeKey,
+    /// What the node announced.
+    pub record: target::Target,
+}
+
+/// A view compiled into arenas with constant-time look-ups by key id, route
+/// path, service and node. Built once per version and replaced as a whole.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    /// Log index up to which the directory is complete.
+    pub version: version::Version,
+    /// Version of the configuration.
+    pub configuration_version: version::Version,
+    /// Teams.
+    pub teams: SlotMap<TeamKey, Team>,
+    /// Callers' keys.
+    pub credentials: SlotMap<CredentialKey, Credential>,
+    /// Routes.
+    pub routes: SlotMap<RouteKey, Route>,
+    /// Services.
+    pub services: SlotMap<ServiceKey, Service>,
+    /// Nodes.
+    pub nodes: SlotMap<NodeKey, node::Node>,
+    /// Targets.
+    pub targets: SlotMap<TargetKey, Target>,
+    /// Names of the priorities by rank, the highest first.
+    pub priorities: Vec<name::Name>,
+    credential_ids: map::Map<[u8; secret::ID_BYTES], CredentialKey>,
+    paths: map::Map<Box<str>, RouteKey>,
+    team_names: map::Map<name::Name, TeamKey>,
+    service_names: map::Map<name::Name, ServiceKey>,
+    node_names: map::Map<name::Name, NodeKey>,
+    route_names: map::Map<name::Name, RouteKey>,
+}
+
+impl Directory {
+    /// Compiles a view whose configuration has passed [`crate::check::check`].
+    /// Objects with unresolved references are left out.
+    #[must_use]
+    pub fn new(view: &view::View) -> Self {
+        let mut directory = Self {
+            version: view.version,
+            configuration_version: view.configuration_version,
+            priorities: ranks(view),
+            ..Self::default()
+        };
+        directory.add_teams(view);
+        directory.add_credentials(view);
+        directory.add_nodes(view);
+        directory.add_routes(view);
+        directory
+    }
+
+    /// Finds a caller's key by its public id.
+    #[must_use]
+    pub fn credential(&self, id: &[u8; secret::ID_BYTES]) -> Option<&Credential> {
+        let key = self.credential_ids.get(id)?;
+        self.credentials.get(*key)
+    }
+
+    /// Finds the route with the longest path prefix on whole segments. The cost
+    /// depends on the length of the path, not on the number of routes.
+    #[must_use]
+    pub fn route(&self, path: &str) -> Option<RouteKey> {
+        let mut prefix = path.trim_end_matches('/');
+        loop {
+            if let Some(key) = self.paths.get(prefix) {
+                return Some(*key);
+            }
+            let (shorter, _) = prefix.rsplit_once('/')?;
+            prefix = shorter;
+        }
+    }
+
+    /// Finds a team by name.
+    #[must_use]
+    pub fn team_named(&self, name: &name::Name) -> Option<TeamKey> {
+        self.team_names.get(name).copied()
+    }
+
+    /// Finds a route by name.
+    #[must_use]
+    pub fn route_named(&self, name: &name::Name) -> Option<RouteKey> {
+        self.route_names.get(name).copied()
+    }
+
+    /// Finds a service by name.
+    #[must_use]
+    pub fn service_named(&self, name: &name::Name) -> Option<ServiceKey> {
+        self.service_names.get(name).copied()
+    }
+
+    /// Finds a node by name.
+    #[must_use]
+    pub fn node_named(&self, name: &name::Name) -> Option<NodeKey> {
+        self.node_names.get(name).copied()
+    }
+
+    /// Finds the rank of a priority by name: 0 is the highest.
+    #[must_use]
+    pub fn rank_named(&self, name: &str) -> Option<u8> {
+        let rank = self
+            .priorities
+            .iter()
+            .position(|entry| entry.as_str() == name)?;
+        u8::try_from(rank).ok()
+    }
+
+    fn add_teams(&mut self, view: &view::View) {
+        let limits: map::Map<_, _> = view
+            .configuration
+            .limits
+            .iter()
+            .map(|limit| (&limit.name, limit))
+            .collect();
+        for team in &view.configuration.teams {
+            let Some(limit) = limits.get(&team.limit) else {
+                continue;
+            };
+            let key = self.teams.insert(Team {
+                name: team.name.clone(),
+                rate_per_second: limit.rate_per_second,
+                burst: limit.burst,
+                weight: team.weight,
+            });
+            self.team_names.insert(team.name.clone(), key);
+        }
+    }
+
+    fn add_credentials(&mut self, view: &view::View) {
+        for entry in &view.configuration.keys {
+            let Some(team) = self.team_named(&entry.team) else {
+                continue;
+            };
+            let key = self.credentials.insert(Credential {
+                name: entry.name.clone(),
+                team,
+                hash: entry.hash,
+                withdrawn: entry.withdrawn,
+            });
+            self.credential_ids.insert(entry.id, key);
+        }
+    }
+
+    fn add_nodes(&mut self, view: &view::View) {
+        for entry in &view.nodes {
+            let node = self.nodes.insert(entry.node.clone());
+            self.node_names.insert(entry.node.name.clone(), node);
+            for record in &entry.targets {
+                let service = self.service(&record.service);
+                let target = self.targets.insert(Target {
+                    service,
+                    node,
+                    record: record.clone(),
+                });
+                self.services[service].targets.push(target);
+            }
+        }
+    }
+
+    fn add_routes(&mut self, view: &view::View) {
+        for entry in &view.configuration.routes {
+            let Some(rank) = self.rank_named(&entry.priority) else {
+                continue;
+            };
+            let service = self.service(&entry.service);
+            let key = self.routes.insert(Route {
+                name: entry.name.clone(),
+                service,
+                rank,
+                teams: self.allowed(&entry.access),
+                idempotent: entry.idempotent,
+                timeout: entry.timeout,
+                retries: entry.retries,
+            });
+            let path = entry.path.trim_end_matches('/');
+            self.paths.insert(path.into(), key);
+            self.route_names.insert(entry.name.clone(), key);
+        }
+    }
+
+    fn allowed(&self, access: &access::Access) -> Option<map::Set<TeamKey>> {
+        match access {
+            access::Access::Open => None,
+            access::Access::Teams(teams) => Some(
+                teams
+                    .iter()
+                    .filter_map(|name| self.team_named(name))
+                    .collect(),
+            ),
+        }
+    }
+
+    fn service(&mut self, name: &name::Name) -> ServiceKey {
+        if let Some(key) = self.service_names.get(name) {
+            return *key;
+        }
+        let key = self.services.insert(Service {
+            name: name.clone(),
+            targets: Vec::new(),
+        });
+        self.service_names.insert(name.clone(), key);
+        key
+    }
+}
+
+/// Names of the priorities, the highest first.
+fn ranks(view: &view::View) -> Vec<name::Name> {
+    let priorities = &view.configuration.priorities;
+    let mut ranked = Vec::with_capacity(priorities.len());
+    let mut above: Option<&name::Name> = None;
+    while ranked.len() < priorities.len() {
+        let next = priorities
+            .iter()
+            .find(|entry| entry.below.as_ref() == above);
+        let Some(next) = next else { break };
+        ranked.push(next.name.clone());
+        above = Some(&next.name);
+    }
+    ranked
+}
--- /dev/null
+++ b/crates/model/src/finding.rs
@@ -0,0 +1,35 @@
+//! One fault found by a check.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{code, kind, name};
+
+/// A fault in a configuration, with the object and field at fault.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Finding {
+    /// What is wrong.
+    pub code: code::Code,
+    /// Kind of the object.
+    pub kind: kind::Kind,
+    /// Name of the object.
+    pub name: name::Name,
+    /// Field of the object, as written in documents.
+    pub field: Box<str>,
+    /// The value at fault and what is allowed.
+    pub detail: Box<str>,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            code,
+            kind,
+            name,
+            field,
+            detail,
+        } = self;
+        write!(formatter, "{code}: {kind} {name}, field {field}: {detail}")
+    }
+}
--- /dev/null
+++ b/crates/model/src/secret.rs
@@ -0,0 +1,86 @@
+//! Keys as their holders have them: `mk_<id>_<secret>`.
+
+use std::fmt;
+
+use subtle::ConstantTimeEq;
+
+/// Bytes of the public id.
+pub const ID_BYTES: usize = 8;
+/// Bytes of the secret.
+pub const SECRET_BYTES: usize = 32;
+
+/// A key with its secret, as presented by a caller. Its `Debug` form shows the
+/// id only.
+#[derive(Clone)]
+pub struct Secret {
+    /// Public id.
+    pub id: [u8; ID_BYTES],
+    secret: [u8; SECRET_BYTES],
+}
+
+impl Secret {
+    /// Makes a key from random bytes.
+    #[must_use]
+    pub const fn new(id: [u8; ID_BYTES], secret: [u8; SECRET_BYTES]) -> Self {
+        Self { id, secret }
+    }
+
+    /// Reads `mk_<id>_<secret>`; `None` when the text has another form.
+    #[must_use]
+    pub fn parse(text: &str) -> Option<Self> {
+        let (id, secret) = text.strip_prefix("mk_")?.split_once('_')?;
+        Some(Self {
+            id: decode(id)?,
+            secret: decode(secret)?,
+        })
+    }
+
+    /// The text for the holder; shown once, never logged.
+    #[must_use]
+    pub fn reveal(&self) -> String {
+        format!("mk_{}_{}", encode(&self.id), encode(&self.secret))
+    }
+
+    /// The hash that is stored in place of the secret.
+    #[must_use]
+    pub fn hash(&self) -> [u8; 32] {
+        *blake3::hash(&self.secret).as_bytes()
+    }
+
+    /// Whether the secret has this hash, in a time that does not depend on
+    /// where they differ.
+    #[must_use]
+    pub fn matches(&self, hash: &[u8; 32]) -> bool {
+        self.hash().ct_eq(hash).into()
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "Secret({})", encode(&self.id))
+    }
+}
+
+/// Bytes as lower-case hexadecimal digits.
+#[must_use]
+pub fn encode(bytes: &[u8]) -> String {
+    use std::fmt::Write;
+    bytes
+        .iter()
+        .fold(String::with_capacity(bytes.len() * 2), |mut text, byte| {
+            let _ = write!(text, "{byte:02x}");
+            text
+        })
+}
+
+/// Exactly `N` bytes from hexadecimal digits.
+fn decode<const N: usize>(text: &str) -> Option<[u8; N]> {
+    if text.len() != N * 2 || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+        return None;
+    }
+    let mut bytes = [0; N];
+    for (index, byte) in bytes.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&text[index * 2..index * 2 + 2], 16).ok()?;
+    }
+    Some(bytes)
+}
--- /dev/null
+++ b/crates/model/src/view.rs
@@ -0,0 +1,66 @@
+//! The part of the replicated state that nodes receive.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{configuration, delta, node, target, version};
+
+/// A node with its targets.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// The node.
+    pub node: node::Node,
+    /// Its targets.
+    pub targets: Vec<target::Target>,
+}
+
+/// Configuration and membership at one version.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct View {
+    /// Log index up to which the view is complete.
+    pub version: version::Version,
+    /// Version of the configuration.
+    pub configuration_version: version::Version,
+    /// The configuration.
+    pub configuration: configuration::Configuration,
+    /// Nodes and their targets.
+    pub nodes: Vec<Entry>,
+}
+
+impl View {
+    /// Applies one published step. Steps about an incarnation that is not
+    /// present have no effect.
+    pub fn apply(&mut self, delta: &delta::Delta) {
+        match delta {
+            delta::Delta::Configuration(version, edits) => {
+                for edit in edits {
+                    // A published edit was checked; a failed delete means that
+                    // the object is already absent.
+                    let _ = self.configuration.edit(edit);
+                }
+                self.configuration_version = *version;
+            }
+            delta::Delta::Joined(node) => self.join(node),
+            delta::Delta::Left(gone) => {
+                let left = |node: &node::Node| {
+                    gone.iter()
+                        .any(|(name, run)| *name == node.name && *run == node.incarnation)
+                };
+                self.nodes.retain(|entry| !left(&entry.node));
+            }
+            delta::Delta::Announced(name, incarnation, targets) => {
+                let entry = self.nodes.iter_mut().find(|entry| entry.node.name == *name);
+                if let Some(entry) = entry.filter(|entry| entry.node.incarnation == *incarnation) {
+                    entry.targets.clone_from(targets);
+                }
+            }
+        }
+    }
+
+    fn join(&mut self, node: &node::Node) {
+        self.nodes.retain(|entry| entry.node.name != node.name);
+        self.nodes.push(Entry {
+            node: node.clone(),
+            targets: Vec::new(),
+        });
+    }
+}
--- /dev/null
+++ b/crates/testsuite/src/lib.rs
@@ -0,0 +1,1 @@
+//! testsuite
--- /dev/null
+++ b/crates/wire/src/message/mod.rs
@@ -0,0 +1,29 @@
+//! Payloads of the calls between masticarch's processes, encoded by postcard.
+
+pub mod claim;
+pub mod lease;
+pub mod operator;
+pub mod status;
+pub mod sync;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::error;
+
+/// Encodes a payload.
+///
+/// # Panics
+/// Never for the types of this module: their encoding cannot fail.
+#[must_use]
+pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    postcard::to_allocvec(value).expect("payload types have no unencodable values")
+}
+
+/// Decodes a payload.
+///
+/// # Errors
+/// [`error::Error::Decode`] when the bytes are not an encoding of `T`.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, error::Error> {
+    Ok(postcard::from_bytes(bytes)?)
+}
--- /dev/null
+++ b/crates/wire/src/rpc.rs
@@ -0,0 +1,64 @@
+//! capnp-rpc on connections that have passed the handshake.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
+use futures::AsyncReadExt;
+use monoio::io::IntoPollIo;
+use monoio::net::TcpStream;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+
+use crate::{error, handshake};
+
+/// Time for opening a connection.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+fn network(
+    stream: TcpStream,
+    side: rpc_twoparty_capnp::Side,
+) -> Result<twoparty::VatNetwork<impl futures::AsyncRead + Unpin + 'static>, error::Error> {
+    let (reader, writer) = stream.into_poll_io()?.compat().split();
+    let options = capnp::message::ReaderOptions::new();
+    Ok(twoparty::VatNetwork::new(reader, writer, side, options))
+}
+
+/// Opens a connection, proves membership and returns the bootstrap capability
+/// of the other side. The connection lives as long as its task, which ends when
+/// the other side closes.
+///
+/// # Errors
+/// [`error::Error::Io`], [`error::Error::Handshake`] or
+/// [`error::Error::Timeout`].
+pub async fn connect<C: capnp::capability::FromClientHook>(
+    address: SocketAddr,
+    role: handshake::Role,
+    credential: &handshake::Credential,
+) -> Result<C, error::Error> {
+    let mut stream = monoio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        .await
+        .map_err(|_| error::Error::Timeout)??;
+    stream.set_nodelay(true)?;
+    handshake::connect(&mut stream, role, credential).await?;
+    let network = network(stream, rpc_twoparty_capnp::Side::Client)?;
+    let mut system = RpcSystem::new(Box::new(network), None);
+    let client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
+    monoio::spawn(async move {
+        let _ = system.await;
+    });
+    Ok(client)
+}
+
+/// Serves a bootstrap capability on an accepted connection until it closes.
+/// The handshake must have succeeded.
+///
+/// # Errors
+/// [`error::Error::Rpc`] when the connection breaks.
+pub async fn serve(
+    stream: TcpStream,
+    bootstrap: capnp::capability::Client,
+) -> Result<(), error::Error> {
+    stream.set_nodelay(true)?;
+    let network = network(stream, rpc_twoparty_capnp::Side::Server)?;
+    Ok(RpcSystem::new(Box::new(network), Some(bootstrap)).await?)
+}
