--- /dev/null
+++ b/crates/node/src/claims/mod.rs
@@ -0,0 +1,3 @@
+//! Claims non-idempotent requests at the control leader.
+
+pub mod message;
--- /dev/null
+++ b/crates/node/src/gate/choice.rs
@@ -0,0 +1,25 @@
+//! The target chosen for one attempt.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use masticarch_model::{directory, incarnation, name};
+
+/// The target chosen for one attempt and what goes with the request.
+#[derive(Clone, Debug)]
+pub struct Choice {
+    /// The target.
+    pub target: directory::TargetKey,
+    /// Node beside the target.
+    pub node: name::Name,
+    /// Run of that node.
+    pub incarnation: incarnation::Incarnation,
+    /// Peer port of that node; `None` when the target is beside this node.
+    pub peer: Option<SocketAddr>,
+    /// Retry credit that goes with the attempt.
+    pub credit: u8,
+    /// Whether every execution of the attempt costs one credit.
+    pub repeat: bool,
+    /// Longest time to wait for the answer of this attempt.
+    pub timeout: Duration,
+}
--- /dev/null
+++ b/crates/node/src/gate/message.rs
@@ -0,0 +1,62 @@
+//! Messages to the gate.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use masticarch_kernel::reply;
+use masticarch_model::directory;
+use masticarch_wire::message::lease;
+
+use crate::gate::{admission, choice, key, report, request};
+use crate::refusal;
+
+/// Totals of a request's call tree at its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Total {
+    /// Retry credit left.
+    pub credit: u8,
+    /// Executions in the call tree; `None` when unknown.
+    pub executions: Option<u32>,
+}
+
+/// Messages to the gate.
+#[derive(Debug)]
+pub enum Message {
+    /// Decides on a new request; the reply may wait for tokens of the team's
+    /// rate.
+    Begin(
+        Box<request::Request>,
+        reply::Reply<Result<admission::Admission, refusal::Refusal>>,
+    ),
+    /// Reports a failed attempt and asks for another target; `None` when no
+    /// further attempt is allowed.
+    Next(
+        key::RequestKey,
+        report::Report,
+        reply::Reply<Option<choice::Choice>>,
+    ),
+    /// Sets the credit and the repeat mark that the ledger allows to a request
+    /// with a caller's id, and gives back the choice with them.
+    Credit(
+        key::RequestKey,
+        u8,
+        bool,
+        reply::Reply<Option<choice::Choice>>,
+    ),
+    /// Ends a request with the report of its last attempt, if there was one.
+    End(
+        key::RequestKey,
+        Option<report::Report>,
+        Option<reply::Reply<Total>>,
+    ),
+    /// Installs a directory that was current at this moment.
+    Install(Rc<directory::Directory>, Instant),
+    /// Nothing changed; the installed directory was current at this moment.
+    Current(Instant),
+    /// Asks for the reports of the next lease request.
+    Reports(reply::Reply<Vec<lease::Report>>),
+    /// Grants in answer to a request sent at this moment.
+    Granted(Vec<lease::Grant>, Instant),
+    /// Refuses new requests from now on.
+    Drain,
+}
--- /dev/null
+++ b/crates/node/src/ledger/mod.rs
@@ -0,0 +1,3 @@
+//! Recognises a caller's resends by request id and bounds their executions.
+
+pub mod message;
--- /dev/null
+++ b/crates/node/src/name.rs
@@ -0,0 +1,28 @@
+//! Names of the services of a node.
+
+use masticarch_kernel::name;
+
+/// Follows the control leader for configuration and membership.
+pub const SYNC: name::Name = name::Name::new("sync");
+/// Renews the node's shares of team limits.
+pub const LEASE: name::Name = name::Name::new("lease");
+/// Decides on requests where they enter the fleet.
+pub const GATE: name::Name = name::Name::new("gate");
+/// Decides on requests beside the target.
+pub const ADMISSION: name::Name = name::Name::new("admission");
+/// Keeps retry credit of request ids of which this node is the home.
+pub const LEDGER: name::Name = name::Name::new("ledger");
+/// Claims non-idempotent requests at the control leader.
+pub const CLAIMS: name::Name = name::Name::new("claims");
+/// Keeps connections to other nodes.
+pub const LINKS: name::Name = name::Name::new("links");
+/// Keeps announcements of, and connections to, the targets beside the node.
+pub const TARGET: name::Name = name::Name::new("target");
+/// Accepts callers.
+pub const CALLER: name::Name = name::Name::new("caller");
+/// Accepts other nodes.
+pub const PEER: name::Name = name::Name::new("peer");
+/// Counts.
+pub const METRICS: name::Name = name::Name::new("metrics");
+/// Serves metrics, health, status and announcements.
+pub const ADMIN: name::Name = name::Name::new("admin");
--- /dev/null
+++ b/crates/node/src/options.rs
@@ -0,0 +1,51 @@
+//! What a node is started with.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bon::Builder;
+use masticarch_model::{name, place};
+use masticarch_wire::handshake;
+
+/// What a node is started with.
+#[derive(Clone, Debug, Builder)]
+pub struct Options {
+    /// Name of the node, unique in the fleet.
+    pub name: name::Name,
+    /// Region and failure domain.
+    pub place: place::Place,
+    /// Listening address for callers and for sub-calls of local targets.
+    pub caller: SocketAddr,
+    /// Listening address for other nodes.
+    pub peer: SocketAddr,
+    /// Address under which other nodes reach `peer`, when it differs.
+    pub advertised: Option<SocketAddr>,
+    /// Listening address for metrics, health, status and announcements.
+    pub admin: SocketAddr,
+    /// Member ports of the control processes.
+    pub control: Vec<SocketAddr>,
+    /// The fleet's secret.
+    pub credential: handshake::Credential,
+    /// Largest request body in bytes.
+    #[builder(default = 1 << 20)]
+    pub max_request_bytes: usize,
+    /// Largest answer body in bytes.
+    #[builder(default = 4 << 20)]
+    pub max_answer_bytes: usize,
+    /// Budget for all buffered bodies in bytes.
+    #[builder(default = 24 << 20)]
+    pub buffer_bytes: usize,
+    /// Longest time in the admission queue.
+    #[builder(default = Duration::from_millis(100))]
+    pub queue_limit: Duration,
+    /// Longest wait for tokens of a team's rate.
+    #[builder(default = Duration::from_millis(200))]
+    pub rate_wait: Duration,
+    /// Longest wait for running requests at shutdown.
+    #[builder(default = Duration::from_secs(600))]
+    pub drain_limit: Duration,
+    /// Whether the decisions on overload, rate, retries and claims are made.
+    /// Experiments switch them off for their baseline.
+    #[builder(default = true)]
+    pub decisions: bool,
+}
--- /dev/null
+++ b/crates/node/src/refusal.rs
@@ -0,0 +1,32 @@
+//! Refusals, before they are encoded for a caller or another node.
+
+use std::time::Duration;
+
+use masticarch_model::{code, ran};
+
+/// Why a request is not answered by a target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// The numbered reason.
+    pub code: code::Code,
+    /// Whether the work ran; differs from the code's default only where the
+    /// refusing part knows more.
+    pub ran: ran::Ran,
+    /// One sentence for the reader of the answer, without secrets.
+    pub detail: Box<str>,
+    /// When another try may succeed.
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// A refusal with the code's own statement of whether the work ran.
+    #[must_use]
+    pub fn new(code: code::Code, detail: impl Into<Box<str>>) -> Self {
+        Self {
+            code,
+            ran: code.ran(),
+            detail: detail.into(),
+            retry_after: None,
+        }
+    }
+}
