--- a/crates/node/src/options.rs
+++ b/crates/node/src/options.rs
@@ -42,7 +42,7 @@
     #[builder(default = Duration::from_millis(200))]
     pub rate_wait: Duration,
     /// Longest wait for running requests at shutdown.
-    #[builder(default = Duration::from_secs(600))]
+    #[builder(default = Duration::from_mins(10))]
     pub drain_limit: Duration,
     /// Whether the decisions on overload, rate, retries and claims are made.
     /// Experiments switch them off for their baseline.
