Add the operators' tool

Cause: operators need to create, check and change the named objects from the command line, and to see the fleet.

Ruled out: a tool that reads the configuration before each call and writes without a version (two operators would overwrite each other); applying a file without keys as a withdrawal of all keys.

--- /dev/null
+++ b/crates/cli/src/client.rs
@@ -0,0 +1,212 @@
+//! Calls to the leading control process.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use masticarch_model::{change, configuration, edit, version};
+use masticarch_wire::message::operator;
+use masticarch_wire::{error as wire_error, handshake, masticarch_capnp, message, rpc};
+
+use crate::{error, settings};
+
+/// Longest time for one call to one process. A process that has lost its
+/// majority answers nothing, and the next one is tried.
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+/// Pause after every address was tried without success, about one election
+/// timeout.
+const ROUND_PAUSE: Duration = Duration::from_millis(300);
+
+/// Sends calls to whichever control process leads.
+pub struct Client {
+    settings: settings::Settings,
+    next: usize,
+}
+
+/// Why one try at one address failed.
+struct Failure {
+    detail: String,
+    /// Whether the call may have reached the process.
+    sent: bool,
+    /// Whether the process refused the credential.
+    refused: bool,
+}
+
+impl Client {
+    /// Makes a client.
+    #[must_use]
+    pub const fn new(settings: settings::Settings) -> Self {
+        Self { settings, next: 0 }
+    }
+
+    /// Calls the leader; tries every address until the time is over. Changes
+    /// carry an id, so that sending one again cannot apply it twice.
+    ///
+    /// # Errors
+    /// [`error::Error::Unreachable`], [`error::Error::Credential`], or
+    /// [`error::Error::Unknown`] when a change may have been applied.
+    pub async fn call(
+        &mut self,
+        request: &operator::Request,
+    ) -> Result<operator::Reply, error::Error> {
+        let deadline = Instant::now() + self.settings.timeout;
+        let bytes = message::encode(request);
+        let mut sent = false;
+        let mut tries = 0;
+        loop {
+            let address = self.settings.control[self.next % self.settings.control.len()];
+            let detail = match self.call_one(address, bytes.clone()).await {
+                Ok(operator::Reply::NotLeader(_)) => format!("{address} does not lead"),
+                Ok(reply) => return Ok(reply),
+                Err(failure) if failure.refused => return Err(error::Error::Credential),
+                Err(failure) => {
+                    sent |= failure.sent;
+                    format!("{address}: {}", failure.detail)
+                }
+            };
+            self.next += 1;
+            tries += 1;
+            if Instant::now() >= deadline {
+                return Err(out_of_time(request, sent, detail));
+            }
+            if tries % self.settings.control.len() == 0 {
+                monoio::time::sleep(ROUND_PAUSE).await;
+            }
+        }
+    }
+
+    async fn call_one(
+        &self,
+        address: SocketAddr,
+        bytes: Vec<u8>,
+    ) -> Result<operator::Reply, Failure> {
+        let role = handshake::Role::Operator;
+        let client: masticarch_capnp::operator::Client =
+            rpc::connect(address, role, &self.settings.credential)
+                .await
+                .map_err(|error| Failure {
+                    refused: matches!(error, wire_error::Error::Handshake(_)),
+                    detail: error.to_string(),
+                    sent: false,
+                })?;
+        let call = async {
+            let mut request = client.call_request();
+            request.get().set_request(&bytes);
+            let response = request.send().promise.await?;
+            let reply = response.get()?.get_reply()?;
+            message::decode::<operator::Reply>(reply)
+        };
+        let after = |detail: String| Failure {
+            detail,
+            sent: true,
+            refused: false,
+        };
+        monoio::time::timeout(CALL_TIMEOUT, call)
+            .await
+            .map_err(|_| after("no answer in time".into()))?
+            .map_err(|error| after(error.to_string()))
+    }
+
+    /// Reads the present configuration.
+    ///
+    /// # Errors
+    /// Those of [`Self::call`].
+    pub async fn configuration(
+        &mut self,
+    ) -> Result<(version::Version, configuration::Configuration), error::Error> {
+        match self.call(&operator::Request::Get).await? {
+            operator::Reply::Configuration(version, configuration) => Ok((version, *configuration)),
+            other => Err(unexpected(other)),
+        }
+    }
+
+    /// Makes a change with a fresh id.
+    ///
+    /// # Errors
+    /// [`error::Error::Io`] when no random numbers are available.
+    pub fn change(
+        &self,
+        expected: version::Version,
+        edits: Vec<edit::Edit>,
+    ) -> Result<change::Change, error::Error> {
+        let mut id = [0; 16];
+        getrandom::fill(&mut id).map_err(|_| std::io::Error::other("no random numbers"))?;
+        Ok(change::Change {
+            id: u128::from_ne_bytes(id),
+            expected,
+            operator: self.settings.credential.name().clone(),
+            edits,
+        })
+    }
+
+    /// Commits a change.
+    ///
+    /// # Errors
+    /// [`error::Error::Conflict`], [`error::Error::Faulty`], and those of
+    /// [`Self::call`].
+    pub async fn apply(
+        &mut self,
+        change: change::Change,
+    ) -> Result<version::Version, error::Error> {
+        let reply = self.call(&operator::Request::Apply(change)).await?;
+        accepted(reply)
+    }
+
+    /// Checks a change without committing it.
+    ///
+    /// # Errors
+    /// Those of [`Self::apply`].
+    pub async fn check(
+        &mut self,
+        change: change::Change,
+    ) -> Result<version::Version, error::Error> {
+        let reply = self.call(&operator::Request::Check(change)).await?;
+        accepted(reply)
+    }
+
+    /// Makes a call that is answered with `Done`.
+    ///
+    /// # Errors
+    /// Those of [`Self::call`].
+    pub async fn command(&mut self, request: &operator::Request) -> Result<(), error::Error> {
+        match self.call(request).await? {
+            operator::Reply::Done | operator::Reply::Accepted(_) => Ok(()),
+            other => Err(unexpected(other)),
+        }
+    }
+}
+
+/// The error after the last try: whether a change may have been applied.
+fn out_of_time(request: &operator::Request, sent: bool, detail: String) -> error::Error {
+    let reads = matches!(
+        request,
+        operator::Request::Get
+            | operator::Request::Check(_)
+            | operator::Request::History(_)
+            | operator::Request::Status
+    );
+    if sent && !reads {
+        return error::Error::Unknown;
+    }
+    error::Error::Unreachable(detail)
+}
+
+fn accepted(reply: operator::Reply) -> Result<version::Version, error::Error> {
+    match reply {
+        operator::Reply::Accepted(version) => Ok(version),
+        other => Err(unexpected(other)),
+    }
+}
+
+/// The error behind a reply that is not the expected one.
+#[must_use]
+pub fn unexpected(reply: operator::Reply) -> error::Error {
+    match reply {
+        operator::Reply::Conflict(present) => error::Error::Conflict(present),
+        operator::Reply::Faulty(findings) => error::Error::Faulty(findings),
+        operator::Reply::Refused(masticarch_model::code::Code::TimeoutOutcomeUnknown, _) => {
+            error::Error::Unknown
+        }
+        operator::Reply::Refused(code, detail) => error::Error::Refused(code, detail.into()),
+        other => error::Error::Unreachable(format!("unexpected reply: {other:?}")),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/command/apply.rs
@@ -0,0 +1,34 @@
+//! `masticarch apply`.
+
+use masticarch_model::{edit, version};
+use serde::Serialize;
+
+use crate::{arguments, client, document, error, output};
+
+/// The result of a change, for scripts.
+#[derive(Debug, Serialize)]
+pub(crate) struct Published {
+    /// Version that the change made.
+    pub version: version::Version,
+}
+
+/// Replaces the configuration by that of a file.
+///
+/// # Errors
+/// See [`error::Error`].
+pub async fn run(
+    client: &mut client::Client,
+    form: arguments::Output,
+    arguments: &arguments::Apply,
+) -> Result<(), error::Error> {
+    let document = document::Document::read(&arguments.file)?;
+    let (present, before) = client.configuration().await?;
+    let expected = arguments.expect.map_or(present, version::Version);
+    let configuration = document.over(&before.keys);
+    let change = client.change(expected, vec![edit::Edit::Replace(configuration)])?;
+    let version = client.apply(change).await?;
+    output::print(form, &Published { version }, || {
+        format!("published version {version}")
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/command/delete.rs
@@ -0,0 +1,25 @@
+//! `masticarch delete`.
+
+use masticarch_model::edit;
+
+use crate::command::apply;
+use crate::{arguments, client, error, output};
+
+/// Deletes one object.
+///
+/// # Errors
+/// See [`error::Error`].
+pub async fn run(
+    client: &mut client::Client,
+    form: arguments::Output,
+    arguments: &arguments::Delete,
+) -> Result<(), error::Error> {
+    let (present, _) = client.configuration().await?;
+    let delete = edit::Edit::Delete(arguments.kind, arguments.name.as_str().into());
+    let change = client.change(present, vec![delete])?;
+    let version = client.apply(change).await?;
+    output::print(form, &apply::Published { version }, || {
+        format!("published version {version}")
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/command/diff.rs
@@ -0,0 +1,103 @@
+//! `masticarch diff`.
+
+use std::collections::BTreeMap;
+
+use masticarch_model::{configuration, kind, name, object};
+use serde::Serialize;
+
+use crate::{arguments, client, document, error, output};
+
+/// How an object differs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Step {
+    /// The object is new.
+    Create,
+    /// The object has other values.
+    Change,
+    /// The object is gone.
+    Delete,
+}
+
+/// One object that differs.
+#[derive(Debug, Serialize)]
+pub struct Difference {
+    /// How it differs.
+    pub step: Step,
+    /// Kind of the object.
+    pub kind: kind::Kind,
+    /// Name of the object.
+    pub name: name::Name,
+}
+
+type Objects = BTreeMap<(kind::Kind, name::Name), object::Object>;
+
+fn objects(configuration: &configuration::Configuration) -> Objects {
+    configuration
+        .objects()
+        .map(|object| ((object.kind(), object.name().clone()), object))
+        .collect()
+}
+
+/// Lists the objects that differ between two configurations, by kind and name.
+#[must_use]
+pub fn differences(
+    present: &configuration::Configuration,
+    wanted: &configuration::Configuration,
+) -> Vec<Difference> {
+    let present = objects(present);
+    let wanted = objects(wanted);
+    let changed = wanted.iter().filter_map(|(key, object)| {
+        let step = match present.get(key) {
+            None => Step::Create,
+            Some(other) if other != object => Step::Change,
+            Some(_) => return None,
+        };
+        Some((key, step))
+    });
+    let deleted = present
+        .keys()
+        .filter(|key| !wanted.contains_key(*key))
+        .map(|key| (key, Step::Delete));
+    let mut steps: Vec<_> = changed.chain(deleted).collect();
+    steps.sort_by_key(|(key, _)| *key);
+    let difference = |((kind, name), step): (&(kind::Kind, name::Name), Step)| Difference {
+        step,
+        kind: *kind,
+        name: name.clone(),
+    };
+    steps.into_iter().map(difference).collect()
+}
+
+fn table(differences: &[Difference]) -> String {
+    let sign = |step| match step {
+        Step::Create => '+',
+        Step::Change => '~',
+        Step::Delete => '-',
+    };
+    let lines: Vec<_> = differences
+        .iter()
+        .map(|entry| format!("{} {} {}", sign(entry.step), entry.kind, entry.name))
+        .collect();
+    if lines.is_empty() {
+        return "no differences".into();
+    }
+    lines.join("\n")
+}
+
+/// Shows what applying a file would change.
+///
+/// # Errors
+/// See [`error::Error`].
+pub async fn run(
+    client: &mut client::Client,
+    form: arguments::Output,
+    arguments: &arguments::File,
+) -> Result<(), error::Error> {
+    let document = document::Document::read(&arguments.file)?;
+    let (_, present) = client.configuration().await?;
+    let wanted = document.over(&present.keys);
+    let differences = differences(&present, &wanted);
+    output::print(form, &differences, || table(&differences));
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/command/history.rs
@@ -0,0 +1,34 @@
+//! `masticarch history`.
+
+use masticarch_wire::message::operator;
+
+use crate::{arguments, client, error, output};
+
+/// Shows the latest changes.
+///
+/// # Errors
+/// See [`error::Error`].
+pub async fn run(
+    client: &mut client::Client,
+    form: arguments::Output,
+    arguments: &arguments::History,
+) -> Result<(), error::Error> {
+    let request = operator::Request::History(arguments.count);
+    let entries = match client.call(&request).await? {
+        operator::Reply::History(entries) => entries,
+        other => return Err(client::unexpected(other)),
+    };
+    output::print(form, &entries, || {
+        let mut table = output::Table::new(["VERSION", "OPERATOR", "CHANGE", "STEPS"]);
+        for entry in &entries {
+            table.row([
+                entry.version.to_string(),
+                entry.operator.to_string(),
+                format!("{:032x}", entry.id),
+                entry.summary.join(", "),
+            ]);
+        }
+        table.render()
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/command/key.rs
@@ -0,0 +1,102 @@
+//! `masticarch key`.
+
+use masticarch_model::{edit, key, kind, object, secret};
+use serde::Serialize;
+
+use crate::{arguments, client, error, output};
+
+/// A key as it is shown once to the operator.
+#[derive(Debug, Serialize)]
+struct Issued<'a> {
+    name: &'a str,
+    team: &'a str,
+    key: String,
+}
+
+/// Issues or withdraws a key.
+///
+/// # Errors
+/// See [`error::Error`].
+pub async fn run(
+    client: &mut client::Client,
+    form: arguments::Output,
+    arguments: &arguments::Key,
+) -> Result<(), error::Error> {
+    match arguments {
+        arguments::Key::Issue { name, team } => issue(client, form, name, team).await,
+        arguments::Key::Withdraw { name } => withdraw(client, name).await,
+    }
+}
+
+/// Draws a key at random.
+///
+/// # Errors
+/// [`error::Error::Io`] when no random numbers are available.
+pub fn draw() -> Result<secret::Secret, error::Error> {
+    let mut id = [0; secret::ID_BYTES];
+    let mut bytes = [0; secret::SECRET_BYTES];
+    for part in [&mut id[..], &mut bytes[..]] {
+        getrandom::fill(part).map_err(|_| std::io::Error::other("no random numbers"))?;
+    }
+    Ok(secret::Secret::new(id, bytes))
+}
+
+async fn issue(
+    client: &mut client::Client,
+    form: arguments::Output,
+    name: &str,
+    team: &str,
+) -> Result<(), error::Error> {
+    let (present, configuration) = client.configuration().await?;
+    if configuration
+        .keys
+        .iter()
+        .any(|key| key.name.as_str() == name)
+    {
+        let detail = format!("key {name} exists already; choose another name");
+        return Err(error::Error::Refused(
+            masticarch_model::code::Code::DuplicateName,
+            detail,
+        ));
+    }
+    let secret = draw()?;
+    let stored = key::Key {
+        name: name.into(),
+        team: team.into(),
+        id: secret.id,
+        hash: secret.hash(),
+        withdrawn: false,
+    };
+    let put = edit::Edit::Put(object::Object::Key(stored));
+    let change = client.change(present, vec![put])?;
+    client.apply(change).await?;
+    let key = secret.reveal();
+    output::print(
+        form,
+        &Issued {
+            name,
+            team,
+            key: key.clone(),
+        },
+        || format!("{key}\nThis text is shown once. Callers of {team} send it as masticarch-key."),
+    );
+    Ok(())
+}
+
+async fn withdraw(client: &mut client::Client, name: &str) -> Result<(), error::Error> {
+    let (present, configuration) = client.configuration().await?;
+    let stored = configuration
+        .keys
+        .into_iter()
+        .find(|key| key.name.as_str() == name)
+        .ok_or_else(|| error::Error::NoSuchObject(format!("{} {name}", kind::Kind::Key)))?;
+    let withdrawn = key::Key {
+        withdrawn: true,
+        ..stored
+    };
+    let put = edit::Edit::Put(object::Object::Key(withdrawn));
+    let change = client.change(present, vec![put])?;
+    let version = client.apply(change).await?;
+    println!("key {name} is withdrawn with version {version}; no node accepts it after 5 s");
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/document.rs
@@ -0,0 +1,48 @@
+//! Configuration files.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::path::Path;
+
+use masticarch_model::{configuration, key};
+
+use crate::error;
+
+/// A configuration file.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Document {
+    configuration: configuration::Configuration,
+    /// Whether the file has the field `keys`.
+    keys: bool,
+}
+
+impl Document {
+    /// Reads a configuration file. Unknown fields and wrong types are refused
+    /// with line and column.
+    ///
+    /// # Errors
+    /// [`error::Error::File`] or [`error::Error::Document`].
+    pub fn read(path: &Path) -> Result<Self, error::Error> {
+        let text =
+            fs::read_to_string(path).map_err(|source| error::Error::File(path.into(), source))?;
+        let faulty =
+            |failure: serde_saphyr::Error| error::Error::Document(path.into(), failure.to_string());
+        let fields: BTreeMap<String, serde_json::Value> =
+            serde_saphyr::from_str(&text).map_err(faulty)?;
+        Ok(Self {
+            configuration: serde_saphyr::from_str(&text).map_err(faulty)?,
+            keys: fields.contains_key("keys"),
+        })
+    }
+
+    /// The configuration that applying the file makes. A file without the field
+    /// `keys` keeps the present ones, because keys are issued one by one.
+    #[must_use]
+    pub fn over(self, present: &[key::Key]) -> configuration::Configuration {
+        let mut configuration = self.configuration;
+        if !self.keys {
+            configuration.keys = present.to_vec();
+        }
+        configuration
+    }
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,1 +1,9 @@
-//! cli
+//! The operators' command-line tool.
+
+pub mod arguments;
+pub mod client;
+pub mod command;
+pub mod document;
+pub mod error;
+pub mod output;
+pub mod settings;
