--- a/crates/cli/src/command/apply.rs
+++ b/crates/cli/src/command/apply.rs
@@ -1,9 +1,10 @@
 //! `masticarch apply`.
 
+use masticarch_client::client;
 use masticarch_model::{edit, version};
 use serde::Serialize;
 
-use crate::{arguments, client, document, error, output};
+use crate::{arguments, document, error, output};
 
 /// The result of a change, for scripts.
 #[derive(Debug, Serialize)]
--- a/crates/cli/src/command/check.rs
+++ b/crates/cli/src/command/check.rs
@@ -1,9 +1,10 @@
 //! `masticarch check`.
 
+use masticarch_client::client;
 use masticarch_model::edit;
 
 use crate::command::apply;
-use crate::{arguments, client, document, error, output};
+use crate::{arguments, document, error, output};
 
 /// Checks a file against the present configuration without publishing it.
 ///
--- a/crates/cli/src/command/delete.rs
+++ b/crates/cli/src/command/delete.rs
@@ -1,9 +1,10 @@
 //! `masticarch delete`.
 
+use masticarch_client::client;
 use masticarch_model::edit;
 
 use crate::command::apply;
-use crate::{arguments, client, error, output};
+use crate::{arguments, error, output};
 
 /// Deletes one object.
 ///
--- a/crates/cli/src/command/diff.rs
+++ b/crates/cli/src/command/diff.rs
@@ -2,10 +2,11 @@
 
 use std::collections::BTreeMap;
 
+use masticarch_client::client;
 use masticarch_model::{configuration, kind, name, object};
 use serde::Serialize;
 
-use crate::{arguments, client, document, error, output};
+use crate::{arguments, document, error, output};
 
 /// How an object differs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
--- a/crates/cli/src/command/drain.rs
+++ b/crates/cli/src/command/drain.rs
@@ -1,8 +1,9 @@
 //! `masticarch drain`.
 
+use masticarch_client::client;
 use masticarch_wire::message::operator;
 
-use crate::{arguments, client, error};
+use crate::{arguments, error};
 
 /// Asks a node to drain.
 ///
--- a/crates/cli/src/command/get.rs
+++ b/crates/cli/src/command/get.rs
@@ -1,9 +1,10 @@
 //! `masticarch get`.
 
+use masticarch_client::client;
 use masticarch_model::{configuration, object};
 
 use crate::command::list;
-use crate::{arguments, client, error, output};
+use crate::{arguments, error, output};
 
 /// Prints the present configuration, or one object of it.
 ///
--- a/crates/cli/src/command/history.rs
+++ b/crates/cli/src/command/history.rs
@@ -1,8 +1,9 @@
 //! `masticarch history`.
 
+use masticarch_client::client;
 use masticarch_wire::message::operator;
 
-use crate::{arguments, client, error, output};
+use crate::{arguments, error, output};
 
 /// Shows the latest changes.
 ///
@@ -16,7 +17,7 @@
     let request = operator::Request::History(arguments.count);
     let entries = match client.call(&request).await? {
         operator::Reply::History(entries) => entries,
-        other => return Err(client::unexpected(other)),
+        other => return Err(client::unexpected(other).into()),
     };
     output::print(form, &entries, || {
         let mut table = output::Table::new(["VERSION", "OPERATOR", "CHANGE", "STEPS"]);
--- a/crates/cli/src/command/key.rs
+++ b/crates/cli/src/command/key.rs
@@ -1,9 +1,10 @@
 //! `masticarch key`.
 
-use masticarch_model::{edit, key, kind, object, secret};
+use masticarch_client::{client, draw, error as call};
+use masticarch_model::{code, edit, key, kind, object};
 use serde::Serialize;
 
-use crate::{arguments, client, error, output};
+use crate::{arguments, error, output};
 
 /// A key as it is shown once to the operator.
 #[derive(Debug, Serialize)]
@@ -28,19 +29,6 @@
     }
 }
 
-/// Draws a key at random.
-///
-/// # Errors
-/// [`error::Error::Io`] when no random numbers are available.
-pub fn draw() -> Result<secret::Secret, error::Error> {
-    let mut id = [0; secret::ID_BYTES];
-    let mut bytes = [0; secret::SECRET_BYTES];
-    for part in [&mut id[..], &mut bytes[..]] {
-        getrandom::fill(part).map_err(|_| std::io::Error::other("no random numbers"))?;
-    }
-    Ok(secret::Secret::new(id, bytes))
-}
-
 async fn issue(
     client: &mut client::Client,
     form: arguments::Output,
@@ -54,12 +42,9 @@
         .any(|key| key.name.as_str() == name)
     {
         let detail = format!("key {name} exists already; choose another name");
-        return Err(error::Error::Refused(
-            masticarch_model::code::Code::DuplicateName,
-            detail,
-        ));
+        return Err(call::Error::Refused(code::Code::DuplicateName, detail.into()).into());
     }
-    let secret = draw()?;
+    let secret = draw::key()?;
     let stored = key::Key {
         name: name.into(),
         team: team.into(),
--- a/crates/cli/src/command/list.rs
+++ b/crates/cli/src/command/list.rs
@@ -1,8 +1,9 @@
 //! `masticarch list`.
 
+use masticarch_client::client;
 use masticarch_model::{access, configuration, kind};
 
-use crate::{arguments, client, error, output};
+use crate::{arguments, error, output};
 
 /// Lists the objects of one kind.
 ///
--- a/crates/cli/src/command/member.rs
+++ b/crates/cli/src/command/member.rs
@@ -3,10 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use masticarch_client::{client, error as call};
 use masticarch_model::{code, member};
 use masticarch_wire::message::operator;
 
-use crate::{arguments, client, error};
+use crate::{arguments, error};
 
 /// Pause between tries to promote a learner that has not caught up.
 const PROMOTE_PAUSE: Duration = Duration::from_millis(500);
@@ -57,13 +58,13 @@
     let mut tries = 0;
     loop {
         match client.command(&request).await {
-            Err(error::Error::Refused(code::Code::MemberChangeRefused, _))
+            Err(call::Error::Refused(code::Code::MemberChangeRefused, _))
                 if tries < PROMOTE_TRIES =>
             {
                 tries += 1;
                 monoio::time::sleep(PROMOTE_PAUSE).await;
             }
-            Err(other) => return Err(other),
+            Err(other) => return Err(other.into()),
             Ok(()) => break,
         }
     }
--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -13,9 +13,10 @@
 pub mod member;
 pub mod status;
 
+use masticarch_client::client;
 use masticarch_kernel::runtime;
 
-use crate::{arguments, client, error, settings};
+use crate::{arguments, error, settings};
 
 /// Runs what the command line asks for.
 ///
@@ -26,7 +27,7 @@
         completions::run(shell);
         return Ok(());
     }
-    let settings = settings::Settings::new(&arguments.connection)?;
+    let settings = settings::read(&arguments.connection)?;
     let client = client::Client::new(settings);
     runtime::run(dispatch(client, arguments.output, arguments.command))?
 }
--- a/crates/cli/src/command/status.rs
+++ b/crates/cli/src/command/status.rs
@@ -1,9 +1,10 @@
 //! `masticarch status`.
 
+use masticarch_client::client;
 use masticarch_model::target;
 use masticarch_wire::message::{operator, status};
 
-use crate::{arguments, client, error, output};
+use crate::{arguments, error, output};
 
 /// Shows versions, members, nodes, targets and limits.
 ///
@@ -12,7 +13,7 @@
 pub async fn run(client: &mut client::Client, form: arguments::Output) -> Result<(), error::Error> {
     let status = match client.call(&operator::Request::Status).await? {
         operator::Reply::Status(status) => status,
-        other => return Err(client::unexpected(other)),
+        other => return Err(client::unexpected(other).into()),
     };
     output::print(form, &status, || {
         let parts = [
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,7 +1,6 @@
 //! The operators' command-line tool.
 
 pub mod arguments;
-pub mod client;
 pub mod command;
 pub mod document;
 pub mod error;
--- a/crates/cli/src/client.rs
+++ b/crates/client/src/client.rs
@@ -7,7 +7,7 @@
 use masticarch_wire::message::operator;
 use masticarch_wire::{error as wire_error, handshake, masticarch_capnp, message, rpc};
 
-use crate::{error, settings};
+use crate::{draw, error, settings};
 
 /// Longest time for one call to one process. A process that has lost its
 /// majority answers nothing, and the next one is tried.
@@ -122,16 +122,14 @@
     /// Makes a change with a fresh id.
     ///
     /// # Errors
-    /// [`error::Error::Io`] when no random numbers are available.
+    /// [`error::Error::Random`].
     pub fn change(
         &self,
         expected: version::Version,
         edits: Vec<edit::Edit>,
     ) -> Result<change::Change, error::Error> {
-        let mut id = [0; 16];
-        getrandom::fill(&mut id).map_err(|_| std::io::Error::other("no random numbers"))?;
         Ok(change::Change {
-            id: u128::from_ne_bytes(id),
+            id: u128::from_ne_bytes(draw::bytes()?),
             expected,
             operator: self.settings.credential.name().clone(),
             edits,
@@ -206,7 +204,7 @@
         operator::Reply::Refused(masticarch_model::code::Code::TimeoutOutcomeUnknown, _) => {
             error::Error::Unknown
         }
-        operator::Reply::Refused(code, detail) => error::Error::Refused(code, detail.into()),
+        operator::Reply::Refused(code, detail) => error::Error::Refused(code, detail),
         other => error::Error::Unreachable(format!("unexpected reply: {other:?}")),
     }
 }
--- /dev/null
+++ b/crates/client/src/draw.rs
@@ -0,0 +1,23 @@
+//! Random identities.
+
+use masticarch_model::secret;
+
+use crate::error;
+
+/// Fills an array with random bytes of the operating system.
+///
+/// # Errors
+/// [`error::Error::Random`] when there are none.
+pub fn bytes<const N: usize>() -> Result<[u8; N], error::Error> {
+    let mut bytes = [0; N];
+    getrandom::fill(&mut bytes).map_err(|_| error::Error::Random)?;
+    Ok(bytes)
+}
+
+/// Draws a key for callers.
+///
+/// # Errors
+/// [`error::Error::Random`].
+pub fn key() -> Result<secret::Secret, error::Error> {
+    Ok(secret::Secret::new(bytes()?, bytes()?))
+}
