Add the replicated state machine

Cause: control needs one deterministic state behind the log: configuration, membership, claims and results of changes. Change: model::catalog with submodules for the change log, claim table, delta log, fleet and references.

--- /dev/null
+++ b/crates/model/src/catalog.rs
@@ -0,0 +1,287 @@
+//! The replicated state machine: configuration, membership and claims.
+
+mod change_log;
+mod claim_table;
+mod delta_log;
+mod fleet;
+mod reference;
+
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    attempt, change, check, claim, code, command, configuration, delta, edit, finding, incarnation,
+    name, node, outcome, settlement, target, version, view,
+};
+
+pub use change_log::Record;
+
+/// Findings kept of one faulty change, so that a large faulty document does not
+/// fill the table of results.
+pub const MAX_FINDINGS: usize = 100;
+
+quick_error! {
+    /// Why a snapshot cannot be used.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The bytes are not an encoding of a catalog.
+        Codec(source: postcard::Error) {
+            from()
+            source(source)
+            display("snapshot of the catalog cannot be read or written: {source}")
+        }
+    }
+}
+
+/// The replicated state. Equal sequences of commands give equal states on every
+/// member; nothing here reads a clock or draws random numbers.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Catalog {
+    view: view::View,
+    fleet: fleet::Fleet,
+    changes: change_log::ChangeLog,
+    claims: claim_table::ClaimTable,
+    /// Not part of a snapshot: a node that is behind one receives the view.
+    #[serde(skip)]
+    deltas: delta_log::DeltaLog,
+}
+
+impl Catalog {
+    /// Makes an empty catalog at version 0.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Configuration and membership as nodes receive them.
+    #[must_use]
+    pub const fn view(&self) -> &view::View {
+        &self.view
+    }
+
+    /// Log index up to which commands are applied.
+    #[must_use]
+    pub const fn version(&self) -> version::Version {
+        self.view.version
+    }
+
+    /// Log index of the newest published delta.
+    #[must_use]
+    pub fn published(&self) -> version::Version {
+        self.deltas.newest()
+    }
+
+    /// Deltas after `held`; `None` when they are no longer kept, or when
+    /// nothing is held yet.
+    #[must_use]
+    pub fn since(&self, held: version::Version) -> Option<Vec<delta::Delta>> {
+        if held >= self.view.version {
+            return Some(Vec::new());
+        }
+        if held == version::Version::default() {
+            return None;
+        }
+        self.deltas.since(held)
+    }
+
+    /// The latest accepted changes, the newest first.
+    pub fn history(&self) -> impl Iterator<Item = &Record> {
+        self.changes.accepted()
+    }
+
+    /// The claim on a subject.
+    #[must_use]
+    pub fn claim(&self, subject: &claim::Subject) -> Option<&claim::Claim> {
+        self.claims.get(subject)
+    }
+
+    /// Subjects of claims that were settled at or before a version, the oldest
+    /// first, up to `count`.
+    #[must_use]
+    pub fn settled_until(&self, version: version::Version, count: usize) -> Vec<claim::Subject> {
+        self.claims.settled_until(version, count)
+    }
+
+    /// Records that the log has reached an index without a command, as after a
+    /// change of leader.
+    pub fn advance(&mut self, index: u64) {
+        self.view.version = version::Version(index);
+    }
+
+    /// Applies the command at a log index and returns its result.
+    pub fn apply(&mut self, index: u64, command: command::Command) -> outcome::Outcome {
+        self.advance(index);
+        match command {
+            command::Command::Change(change) => self.change(change),
+            command::Command::Join(node) => self.join(node),
+            command::Command::Leave(nodes) => self.leave(nodes),
+            command::Command::Announce(name, incarnation, targets) => {
+                self.announce(name, incarnation, targets)
+            }
+            command::Command::Claim(subject, digest, attempt) => {
+                self.make_claim(subject, digest, attempt)
+            }
+            command::Command::Settle(subject, attempt, settlement) => {
+                self.settle(&subject, attempt, settlement)
+            }
+            command::Command::Forget(subjects) => {
+                self.claims.forget(&subjects);
+                outcome::Outcome::Applied
+            }
+        }
+    }
+
+    /// The result that a change would have if it were applied next.
+    #[must_use]
+    pub fn check(&self, change: &change::Change) -> outcome::Outcome {
+        match self.prepare(change) {
+            Ok(()) => outcome::Outcome::Changed(version::Version(self.view.version.0 + 1)),
+            Err(refused) => refused,
+        }
+    }
+
+    /// Encodes the state for a snapshot.
+    ///
+    /// # Errors
+    /// [`Error::Codec`] when the state cannot be encoded.
+    pub fn encode(&self) -> Result<Vec<u8>, Error> {
+        Ok(postcard::to_allocvec(self)?)
+    }
+
+    /// Decodes a snapshot.
+    ///
+    /// # Errors
+    /// [`Error::Codec`] when the bytes are not an encoding of a catalog.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
+        let mut catalog: Self = postcard::from_bytes(bytes)?;
+        catalog.deltas = delta_log::DeltaLog::starting_at(catalog.view.version);
+        Ok(catalog)
+    }
+
+    fn change(&mut self, change: change::Change) -> outcome::Outcome {
+        if let Some(first) = self.changes.result(change.id) {
+            return first.clone();
+        }
+        let result = match self.prepare(&change) {
+            Ok(()) => outcome::Outcome::Changed(self.view.version),
+            Err(refused) => refused,
+        };
+        self.changes.record(&change, result.clone());
+        if let outcome::Outcome::Changed(version) = result {
+            self.publish(delta::Delta::Configuration(version, change.edits));
+        }
+        result
+    }
+
+    /// Checks a change against the present configuration.
+    fn prepare(&self, change: &change::Change) -> Result<(), outcome::Outcome> {
+        if change.expected != self.view.configuration_version {
+            return Err(outcome::Outcome::Conflict(self.view.configuration_version));
+        }
+        let mut findings = findings(&self.view.configuration, &change.edits);
+        findings.truncate(MAX_FINDINGS);
+        if findings.is_empty() {
+            return Ok(());
+        }
+        Err(outcome::Outcome::Faulty(findings))
+    }
+
+    fn join(&mut self, node: node::Node) -> outcome::Outcome {
+        match self.fleet.join(&node) {
+            fleet::Joining::Present if self.knows(&node) => outcome::Outcome::Applied,
+            fleet::Joining::Replaced => outcome::Outcome::Refused(code::Code::VersionConflict),
+            fleet::Joining::Present | fleet::Joining::New => {
+                self.publish(delta::Delta::Joined(node));
+                outcome::Outcome::Applied
+            }
+            fleet::Joining::Replaces(earlier) => {
+                self.claims.orphan(earlier, self.view.version);
+                self.publish(delta::Delta::Joined(node));
+                outcome::Outcome::Applied
+            }
+        }
+    }
+
+    fn knows(&self, node: &node::Node) -> bool {
+        self.view.nodes.iter().any(|entry| entry.node == *node)
+    }
+
+    fn leave(
+        &mut self,
+        mut nodes: Vec<(name::Name, incarnation::Incarnation)>,
+    ) -> outcome::Outcome {
+        nodes.retain(|(name, incarnation)| self.fleet.leave(name, *incarnation));
+        for (_, incarnation) in &nodes {
+            self.claims.orphan(*incarnation, self.view.version);
+        }
+        if !nodes.is_empty() {
+            self.publish(delta::Delta::Left(nodes));
+        }
+        outcome::Outcome::Applied
+    }
+
+    fn announce(
+        &mut self,
+        name: name::Name,
+        incarnation: incarnation::Incarnation,
+        targets: Vec<target::Target>,
+    ) -> outcome::Outcome {
+        if !self.fleet.has(incarnation) {
+            return outcome::Outcome::Refused(code::Code::NoSuchObject);
+        }
+        let mut entries = self.view.nodes.iter();
+        let known = entries.find(|entry| entry.node.incarnation == incarnation);
+        if known.is_some_and(|entry| entry.targets != targets) {
+            self.publish(delta::Delta::Announced(name, incarnation, targets));
+        }
+        outcome::Outcome::Applied
+    }
+
+    fn make_claim(
+        &mut self,
+        subject: claim::Subject,
+        digest: [u8; 32],
+        attempt: attempt::Attempt,
+    ) -> outcome::Outcome {
+        // An incarnation that has left cannot settle the claim, and its
+        // departure no longer turns the claim into `Unknown`.
+        if !self.fleet.has(attempt.node) {
+            return outcome::Outcome::Refused(code::Code::ClaimUnavailable);
+        }
+        self.claims.claim(subject, digest, attempt)
+    }
+
+    fn settle(
+        &mut self,
+        subject: &claim::Subject,
+        attempt: attempt::Attempt,
+        settlement: settlement::Settlement,
+    ) -> outcome::Outcome {
+        self.claims
+            .settle(subject, attempt, settlement, self.view.version)
+    }
+
+    fn publish(&mut self, delta: delta::Delta) {
+        self.view.apply(&delta);
+        self.deltas.push(self.view.version, delta);
+    }
+}
+
+/// The faults that a list of edits would cause.
+fn findings(present: &configuration::Configuration, edits: &[edit::Edit]) -> Vec<finding::Finding> {
+    let mut set = present.clone();
+    let missing: Vec<_> = edits
+        .iter()
+        .filter_map(|edit| set.edit(edit).err())
+        .collect();
+    if !missing.is_empty() {
+        return missing;
+    }
+    let mut findings = reference::in_use(&set, edits);
+    let reported = !findings.is_empty();
+    let checked = check::check(&set).into_iter();
+    // A reference to a deleted object is reported at the deleted object.
+    findings
+        .extend(checked.filter(|finding| !(reported && finding.code == code::Code::DanglingName)));
+    findings
+}
--- /dev/null
+++ b/crates/model/src/catalog/change_log.rs
@@ -0,0 +1,82 @@
+//! Results of changes, kept for resends and for the operators' history.
+
+use std::collections::VecDeque;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{change, edit, name, outcome};
+
+/// Results kept: a day of changes at the design target.
+pub const KEPT: usize = 10_000;
+
+/// Lines kept of the summary of one change.
+pub const MAX_LINES: usize = 100;
+
+/// One change and its result.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// Id drawn by the sender.
+    pub id: u128,
+    /// Name of the operator credential.
+    pub operator: name::Name,
+    /// One line for each edit, up to [`MAX_LINES`].
+    pub summary: Vec<Box<str>>,
+    /// The first result.
+    pub outcome: outcome::Outcome,
+}
+
+/// The latest changes, the oldest first.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct ChangeLog {
+    records: VecDeque<Record>,
+    /// Number of records dropped so far; a position in `positions` less this
+    /// number is an index into `records`.
+    dropped: u64,
+    positions: crate::map::Map<u128, u64>,
+}
+
+impl ChangeLog {
+    /// The first result of a change that is still kept.
+    pub fn result(&self, id: u128) -> Option<&outcome::Outcome> {
+        let position = self.positions.get(&id)?;
+        let index = usize::try_from(position - self.dropped).ok()?;
+        self.records.get(index).map(|record| &record.outcome)
+    }
+
+    /// Keeps the result of a change, and drops the oldest above [`KEPT`].
+    pub fn record(&mut self, change: &change::Change, outcome: outcome::Outcome) {
+        let position = self.dropped + self.records.len() as u64;
+        self.positions.insert(change.id, position);
+        self.records.push_back(Record {
+            id: change.id,
+            operator: change.operator.clone(),
+            summary: change.edits.iter().take(MAX_LINES).map(describe).collect(),
+            outcome,
+        });
+        if self.records.len() > KEPT {
+            self.drop_oldest();
+        }
+    }
+
+    /// The accepted changes that are still kept, the newest first.
+    pub fn accepted(&self) -> impl Iterator<Item = &Record> {
+        let accepted = |record: &&Record| matches!(record.outcome, outcome::Outcome::Changed(_));
+        self.records.iter().rev().filter(accepted)
+    }
+
+    fn drop_oldest(&mut self) {
+        if let Some(record) = self.records.pop_front() {
+            self.dropped += 1;
+            self.positions.remove(&record.id);
+        }
+    }
+}
+
+fn describe(edit: &edit::Edit) -> Box<str> {
+    let text = match edit {
+        edit::Edit::Put(object) => format!("put {} {}", object.kind(), object.name()),
+        edit::Edit::Delete(kind, name) => format!("delete {kind} {name}"),
+        edit::Edit::Replace(whole) => format!("replace with {} objects", whole.objects().count()),
+    };
+    text.into()
+}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod access;
 pub mod answer;
 pub mod attempt;
+pub mod catalog;
 pub mod change;
 pub mod check;
 pub mod claim;
