Add the pure owner of rate shares

Ruled out: trusting the order of requests, since a late request on an abandoned connection would understate what its node holds; requests carry the number of their connection. Change: policy::share with the level (max-min fair division), the account of one team and the owner of all.

--- /dev/null
+++ b/crates/policy/src/share/account.rs
@@ -0,0 +1,204 @@
+//! Shares and tokens of one team's limit.
+
+use std::time::{Duration, Instant};
+
+use masticarch_model::{incarnation, map};
+
+use super::{lease, level};
+
+/// Holders up to which the level follows every report. Above, it is computed
+/// at most once per [`LEVEL_AGE`], because it costs time in all holders.
+const SMALL: usize = 64;
+/// Oldest level that is used when there are many holders.
+const LEVEL_AGE: Duration = Duration::from_millis(100);
+
+/// What one holder may be using.
+#[derive(Clone, Copy, Debug)]
+struct Holding {
+    counted: lease::Share,
+    demand: f64,
+    expires: Instant,
+}
+
+/// What an account decides on one report.
+#[derive(Clone, Copy, Debug)]
+pub struct Decision {
+    /// Share that the holder may use.
+    pub share: lease::Share,
+    /// Tokens moved from the pool.
+    pub tokens: f64,
+}
+
+/// The owner's account of one team's limit. The sum of the counted shares and
+/// the pool never exceeds the limit, unless the limit was just lowered.
+#[derive(Clone, Debug)]
+pub struct Account {
+    limit: lease::Share,
+    holdings: map::Map<incarnation::Incarnation, Holding>,
+    counted: lease::Share,
+    /// Tokens that no holder has.
+    pool: f64,
+    filled: Instant,
+    level: level::Level,
+    computed: Option<Instant>,
+}
+
+impl Account {
+    /// Makes an account with an empty pool.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            limit: lease::Share::default(),
+            holdings: map::Map::default(),
+            counted: lease::Share::default(),
+            pool: 0.0,
+            filled: now,
+            level: level::Level::default(),
+            computed: None,
+        }
+    }
+
+    /// The whole limit.
+    pub const fn limit(&self) -> lease::Share {
+        self.limit
+    }
+
+    /// Sum of the shares that holders may be using.
+    pub const fn counted(&self) -> lease::Share {
+        self.counted
+    }
+
+    /// Sum of the reported demand.
+    pub fn demand(&self) -> f64 {
+        self.holdings.values().map(|holding| holding.demand).sum()
+    }
+
+    /// Changes the limit; shares granted under the earlier one shrink as their
+    /// holders report.
+    pub fn set_limit(&mut self, now: Instant, limit: lease::Share, opened: Instant) {
+        if self.limit != limit {
+            self.fill(now, opened);
+            self.limit = limit;
+            self.computed = None;
+            self.trim_pool();
+        }
+    }
+
+    /// Stops counting shares whose lease is over; tells whether any remain.
+    pub fn expire(&mut self, now: Instant) -> bool {
+        self.holdings.retain(|_, holding| holding.expires > now);
+        // Summed afresh, so that rounding errors do not accumulate.
+        self.counted = self
+            .holdings
+            .values()
+            .fold(lease::Share::default(), |sum, holding| {
+                sum.plus(holding.counted)
+            });
+        !self.holdings.is_empty()
+    }
+
+    /// Decides on a holder's report. Before `opened`, shares granted by an
+    /// earlier owner may be in use unreported, so that nothing new is granted.
+    pub fn renew(
+        &mut self,
+        now: Instant,
+        node: incarnation::Incarnation,
+        report: &lease::Report,
+        opened: Instant,
+    ) -> Decision {
+        self.fill(now, opened);
+        let held = lease::Share {
+            rate: amount(report.held.rate),
+            burst: amount(report.held.burst),
+        };
+        let demand = amount(report.demand);
+        self.count(now, node, held, demand);
+        self.pool += amount(report.released);
+        self.trim_pool();
+        self.update_level(now);
+        let share = self.share(held, demand, now < opened);
+        self.count(now, node, held.max(share), demand);
+        let tokens = self.take_tokens(held, share, demand);
+        Decision { share, tokens }
+    }
+
+    /// The share for a holder that is counted with `held`.
+    fn share(&self, held: lease::Share, demand: f64, closed: bool) -> lease::Share {
+        let target = self.level.target(demand);
+        if closed {
+            return target.min(held);
+        }
+        let free = self.limit.less(self.counted);
+        // Up to `held`, a share does not raise the sum, even when the sum
+        // exceeds a lowered limit.
+        target.min(held.plus(free))
+    }
+
+    /// Sets what a holder is counted with, from now until its lease ends.
+    fn count(
+        &mut self,
+        now: Instant,
+        node: incarnation::Incarnation,
+        counted: lease::Share,
+        demand: f64,
+    ) {
+        let earlier = if counted.is_empty() && demand <= 0.0 {
+            self.holdings.remove(&node)
+        } else {
+            let expires = now + lease::COUNTED;
+            self.holdings.insert(
+                node,
+                Holding {
+                    counted,
+                    demand,
+                    expires,
+                },
+            )
+        };
+        let earlier = earlier.map(|holding| holding.counted).unwrap_or_default();
+        self.counted = self.counted.less(earlier).plus(counted);
+    }
+
+    /// Adds what the rate that nobody may be using yielded since the last call.
+    fn fill(&mut self, now: Instant, opened: Instant) {
+        let from = self.filled.max(opened);
+        let elapsed = now.saturating_duration_since(from).as_secs_f64();
+        self.filled = now.max(self.filled);
+        self.pool += self.limit.less(self.counted).rate * elapsed;
+        self.trim_pool();
+    }
+
+    fn trim_pool(&mut self) {
+        self.pool = self.pool.min(self.limit.less(self.counted).burst);
+    }
+
+    /// Moves tokens to a holder: enough to fill the part by which its bucket
+    /// grew, and a second's worth of the demand beyond its rate.
+    fn take_tokens(&mut self, held: lease::Share, share: lease::Share, demand: f64) -> f64 {
+        let grown = share.less(held).burst;
+        let short = (demand - share.rate).max(0.0);
+        let tokens = (grown + short).min(share.burst).min(self.pool);
+        self.pool -= tokens;
+        self.trim_pool();
+        tokens
+    }
+
+    fn update_level(&mut self, now: Instant) {
+        let fresh = |computed: Instant| now.saturating_duration_since(computed) < LEVEL_AGE;
+        if self.holdings.len() > SMALL && self.computed.is_some_and(fresh) {
+            return;
+        }
+        self.expire(now);
+        let demand = self.holdings.values().map(|holding| holding.demand);
+        self.level = level::Level::new(self.limit, demand);
+        self.computed = Some(now);
+    }
+}
+
+/// A reported amount; anything that is not a number counts as nothing.
+const fn amount(value: f64) -> f64 {
+    if value.is_finite() {
+        value.max(0.0)
+    } else {
+        0.0
+    }
+}
--- /dev/null
+++ b/crates/policy/src/share/mod.rs
@@ -0,0 +1,6 @@
+//! Leased shares of team limits.
+
+mod account;
+pub mod lease;
+mod level;
+pub mod owner;
--- /dev/null
+++ b/crates/policy/src/share/owner.rs
@@ -0,0 +1,144 @@
+//! The owner of all team limits, on the control leader.
+
+use std::time::{Duration, Instant};
+
+use masticarch_model::{incarnation, map, name};
+use slotmap::{SlotMap, new_key_type};
+
+use super::{account, lease};
+
+/// Time after which the last connection of a silent holder is forgotten.
+const CONNECTION_KEPT: Duration = Duration::from_mins(1);
+
+new_key_type! {
+    /// Copyable key of a team's account.
+    struct AccountKey;
+}
+
+/// The latest connection of a holder.
+#[derive(Clone, Copy, Debug)]
+struct Connection {
+    number: u64,
+    seen: Instant,
+}
+
+/// Grants shares of team limits such that the shares that holders may be using
+/// never exceed a limit: a share counts until its holder reports a smaller one
+/// or its lease ends. A new owner is made for each term of the leader.
+#[derive(Clone, Debug)]
+pub struct Owner {
+    /// When every share of earlier owners has been reported or has ended.
+    opened: Instant,
+    accounts: SlotMap<AccountKey, account::Account>,
+    teams: map::Map<name::Name, AccountKey>,
+    connections: map::Map<incarnation::Incarnation, Connection>,
+}
+
+impl Owner {
+    /// Makes the owner of a new term, which grants nothing new until the
+    /// leases of its predecessors are over.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self {
+            opened: now + lease::COUNTED,
+            accounts: SlotMap::with_key(),
+            teams: map::Map::default(),
+            connections: map::Map::default(),
+        }
+    }
+
+    /// Sets the limits of all teams. A team that is not listed gets no more
+    /// shares; the ones that it has count until their leases end.
+    pub fn set_limits(&mut self, now: Instant, limits: &[lease::Limit]) {
+        let listed: map::Set<_> = limits.iter().map(|limit| &limit.team).collect();
+        for (team, key) in &self.teams {
+            if !listed.contains(team) {
+                self.accounts[*key].set_limit(now, lease::Share::default(), self.opened);
+            }
+        }
+        for limit in limits {
+            let key = *self
+                .teams
+                .entry(limit.team.clone())
+                .or_insert_with(|| self.accounts.insert(account::Account::new(now)));
+            self.accounts[key].set_limit(now, limit.whole, self.opened);
+        }
+    }
+
+    /// Decides on a holder's reports, with one grant for each; `None` when the
+    /// request came on a connection that the holder has given up.
+    pub fn renew(&mut self, now: Instant, request: &lease::Request) -> Option<Vec<lease::Grant>> {
+        if !self.is_latest(now, request) {
+            return None;
+        }
+        let grants = request
+            .reports
+            .iter()
+            .map(|report| self.grant(now, request.node, report));
+        Some(grants.collect())
+    }
+
+    /// Forgets shares whose leases are over, teams without limit and shares,
+    /// and connections of holders that have gone.
+    pub fn expire(&mut self, now: Instant) {
+        let accounts = &mut self.accounts;
+        self.teams.retain(|_, key| {
+            let account = &mut accounts[*key];
+            let keep = account.expire(now) || !account.limit().is_empty();
+            if !keep {
+                accounts.remove(*key);
+            }
+            keep
+        });
+        self.connections.retain(|_, connection| {
+            now.saturating_duration_since(connection.seen) < CONNECTION_KEPT
+        });
+    }
+
+    /// What is leased of each team's limit.
+    #[must_use]
+    pub fn usage(&self) -> Vec<lease::Usage> {
+        let usage = |(team, key): (&name::Name, &AccountKey)| {
+            let account = &self.accounts[*key];
+            lease::Usage {
+                team: team.clone(),
+                whole: account.limit(),
+                leased: account.counted(),
+                demand: account.demand(),
+            }
+        };
+        self.teams.iter().map(usage).collect()
+    }
+
+    fn grant(
+        &mut self,
+        now: Instant,
+        node: incarnation::Incarnation,
+        report: &lease::Report,
+    ) -> lease::Grant {
+        let decision = self
+            .teams
+            .get(&report.team)
+            .and_then(|key| self.accounts.get_mut(*key))
+            .map(|account| account.renew(now, node, report, self.opened));
+        lease::Grant {
+            team: report.team.clone(),
+            share: decision.map(|decision| decision.share).unwrap_or_default(),
+            tokens: decision.map_or(0.0, |decision| decision.tokens),
+        }
+    }
+
+    /// Whether a request came on the latest connection of its holder.
+    fn is_latest(&mut self, now: Instant, request: &lease::Request) -> bool {
+        let number = request.connection;
+        let latest = self
+            .connections
+            .entry(request.node)
+            .or_insert(Connection { number, seen: now });
+        if number < latest.number {
+            return false;
+        }
+        *latest = Connection { number, seen: now };
+        true
+    }
+}
