Serve operators and nodes from one control process

Cause: the control role had no services. Ruled out: waiting for consensus before any port works; the log sits behind one message type, and a member that commits in memory stands in for it. Change: registry, allotment, membership, the member, operator and admin ports, and role::run that connects them. Command::Drain keeps a drain in the replicated state, so that the next renewal of the node does not undo it.

--- /dev/null
+++ b/crates/control/src/admin/head.rs
@@ -0,0 +1,35 @@
+//! Bounded read of a request head.
+
+use std::time::Duration;
+
+use monoio::io::AsyncReadRent;
+
+/// Largest head; requests on this port carry few headers. It keeps every header
+/// name far below 64 KiB, at which the HTTP decoder panics.
+const MAX_BYTES: usize = 8 << 10;
+/// Time for the head.
+const TIMEOUT: Duration = Duration::from_secs(2);
+const READ_BYTES: usize = 1 << 10;
+const END: &[u8] = b"\r\n\r\n";
+
+/// Reads up to the blank line; `None` when the head does not arrive whole, in
+/// time and within its bound.
+pub async fn read(stream: &mut impl AsyncReadRent) -> Option<Vec<u8>> {
+    monoio::time::timeout(TIMEOUT, read_bounded(stream))
+        .await
+        .ok()
+        .flatten()
+}
+
+async fn read_bounded(stream: &mut impl AsyncReadRent) -> Option<Vec<u8>> {
+    let mut head = Vec::new();
+    while head.len() < MAX_BYTES {
+        let (read, chunk) = stream.read(vec![0; READ_BYTES]).await;
+        let count = read.ok().filter(|count| *count > 0)?;
+        head.extend_from_slice(&chunk[..count]);
+        if head.windows(END.len()).any(|window| window == END) {
+            return Some(head);
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/control/src/allotment/message.rs
@@ -0,0 +1,18 @@
+//! What the registry and the ports ask of the allotment.
+
+use masticarch_kernel::reply;
+use masticarch_policy::share::lease;
+
+/// Asked of the service [`crate::name::ALLOTMENT`].
+#[derive(Debug)]
+pub enum Message {
+    /// Whether this process leads; each term gets a new owner.
+    Role(bool),
+    /// The limits of all teams.
+    Limits(Vec<lease::Limit>),
+    /// Decides on a node's reports; `None` when this process does not lead or
+    /// the node has given up the connection.
+    Renew(lease::Request, reply::Reply<Option<Vec<lease::Grant>>>),
+    /// What is leased of each team's limit.
+    Usage(reply::Reply<Vec<lease::Usage>>),
+}
--- /dev/null
+++ b/crates/control/src/allotment/mod.rs
@@ -0,0 +1,4 @@
+//! Owner of the rate shares.
+
+pub mod message;
+pub mod service;
--- /dev/null
+++ b/crates/control/src/allotment/service.rs
@@ -0,0 +1,75 @@
+//! The task that owns the rate shares.
+
+use std::time::{Duration, Instant};
+
+use masticarch_kernel::{mailbox, stop};
+use masticarch_policy::share::{lease, owner};
+
+use super::message;
+use crate::event;
+
+/// Time between clean-ups of ended leases.
+const PERIOD: Duration = Duration::from_secs(1);
+
+/// Owner of the rate shares while this process leads.
+#[derive(Default)]
+pub struct Service {
+    owner: Option<owner::Owner>,
+    limits: Vec<lease::Limit>,
+}
+
+impl Service {
+    /// Makes the service of a process that does not lead.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Handles messages until the service is asked to stop.
+    pub async fn run(mut self, mailbox: mailbox::Mailbox<message::Message>, stop: stop::Stop) {
+        let mut events = event::Events::new(mailbox, PERIOD, stop);
+        loop {
+            match events.next().await {
+                event::Event::Message(message) => self.handle(message, Instant::now()),
+                event::Event::Tick => self.expire(Instant::now()),
+                event::Event::Stop => return,
+            }
+        }
+    }
+
+    /// Handles one message. Nobody waiting for a reply any more is no error.
+    fn handle(&mut self, message: message::Message, now: Instant) {
+        match message {
+            message::Message::Role(leads) => self.change_role(leads, now),
+            message::Message::Limits(limits) => self.set_limits(limits, now),
+            message::Message::Renew(request, reply) => {
+                let owner = self.owner.as_mut();
+                let _ = reply.send(owner.and_then(|owner| owner.renew(now, &request)));
+            }
+            message::Message::Usage(reply) => {
+                let owner = self.owner.as_ref();
+                let _ = reply.send(owner.map(owner::Owner::usage).unwrap_or_default());
+            }
+        }
+    }
+
+    fn change_role(&mut self, leads: bool, now: Instant) {
+        self.owner = leads.then(|| owner::Owner::new(now));
+        if let Some(owner) = &mut self.owner {
+            owner.set_limits(now, &self.limits);
+        }
+    }
+
+    fn set_limits(&mut self, limits: Vec<lease::Limit>, now: Instant) {
+        self.limits = limits;
+        if let Some(owner) = &mut self.owner {
+            owner.set_limits(now, &self.limits);
+        }
+    }
+
+    fn expire(&mut self, now: Instant) {
+        if let Some(owner) = &mut self.owner {
+            owner.expire(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/error.rs
@@ -0,0 +1,29 @@
+//! Errors of the control role.
+
+use std::net::SocketAddr;
+
+use quick_error::quick_error;
+
+quick_error! {
+    /// Why the control role cannot start.
+    #[derive(Debug)]
+    pub enum Error {
+        /// A port cannot be opened.
+        Listen(address: SocketAddr, source: std::io::Error) {
+            source(source)
+            display("cannot listen on {address}: {source}")
+        }
+        /// Services cannot be connected.
+        Kernel(source: masticarch_kernel::error::Error) {
+            from()
+            source(source)
+            display("services cannot be connected: {source}")
+        }
+        /// Metrics cannot be defined.
+        Metrics(source: prometheus::Error) {
+            from()
+            source(source)
+            display("metrics cannot be defined: {source}")
+        }
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,3 +1,17 @@
 //! Services of the control role: the processes on VMs with disks.
 
+pub mod admin;
+pub mod allotment;
+pub mod error;
+pub mod event;
+pub mod listener;
+pub mod log;
+pub mod member;
+pub mod membership;
+pub mod metrics;
+pub mod name;
+pub mod operator;
 pub mod options;
+pub mod registry;
+pub mod role;
+pub mod services;
--- /dev/null
+++ b/crates/control/src/member/claim.rs
@@ -0,0 +1,58 @@
+//! Claims on non-idempotent requests.
+
+use masticarch_model::{claim as model, code, command, outcome};
+use masticarch_wire::message::claim;
+
+use crate::{registry, services};
+
+/// Commits a claim or a settlement, and replies with its result.
+pub async fn answer(services: &services::Services, request: claim::Request) -> claim::Reply {
+    let subject = subject(&request).clone();
+    let outcome = services.commands.commit(&command(request)).await;
+    match outcome {
+        Ok(outcome::Outcome::Claimed) => claim::Reply::Claimed,
+        Ok(outcome::Outcome::Applied) => claim::Reply::Settled,
+        Ok(outcome::Outcome::Held(held)) => claim::Reply::Held(held),
+        // The node sees the mismatch in the digest of the claim.
+        Ok(outcome::Outcome::Refused(code::Code::IdempotencyMismatch)) => {
+            present(services, subject).await
+        }
+        Err(code::Code::NotLeader) => claim::Reply::NotLeader(services.log.leader().await),
+        Ok(_) | Err(_) => {
+            services.metrics.refused(code::Code::ClaimUnavailable);
+            claim::Reply::Unavailable
+        }
+    }
+}
+
+const fn subject(request: &claim::Request) -> &model::Subject {
+    match request {
+        claim::Request::Claim { subject, .. } | claim::Request::Settle { subject, .. } => subject,
+    }
+}
+
+fn command(request: claim::Request) -> command::Command {
+    match request {
+        claim::Request::Claim {
+            subject,
+            digest,
+            attempt,
+        } => command::Command::Claim(subject, digest, attempt),
+        claim::Request::Settle {
+            subject,
+            attempt,
+            settlement,
+        } => command::Command::Settle(subject, attempt, settlement),
+    }
+}
+
+/// Replies with the claim that a request collided with.
+async fn present(services: &services::Services, subject: model::Subject) -> claim::Reply {
+    let asked = services
+        .registry
+        .ask(|reply| registry::message::Message::Claim(subject, reply));
+    match asked.await {
+        Ok(Some(held)) => claim::Reply::Held(held),
+        Ok(None) | Err(_) => claim::Reply::Unavailable,
+    }
+}
--- /dev/null
+++ b/crates/control/src/member/lease.rs
@@ -0,0 +1,58 @@
+//! Renewal of a node's shares of team limits.
+
+use masticarch_kernel::error;
+use masticarch_policy::share::lease as policy;
+use masticarch_wire::message::lease;
+
+use crate::{allotment, services};
+
+/// Grants shares after leadership is confirmed by a round that starts after the
+/// request arrived, so that a deposed leader grants nothing.
+///
+/// # Errors
+/// [`error::Error::Closed`] when a service has stopped.
+pub async fn answer(
+    services: &services::Services,
+    connection: u64,
+    request: lease::Request,
+) -> Result<lease::Reply, error::Error> {
+    if services.log.confirm().await.is_err() {
+        return Ok(lease::Reply::NotLeader(services.log.leader().await));
+    }
+    let request = policy::Request {
+        node: request.incarnation,
+        connection,
+        reports: request.reports.into_iter().map(report).collect(),
+    };
+    let renewed = services
+        .allotment
+        .ask(|reply| allotment::message::Message::Renew(request, reply))
+        .await?;
+    Ok(match renewed {
+        Some(grants) => lease::Reply::Grants(grants.into_iter().map(grant).collect()),
+        None => lease::Reply::NotLeader(services.log.leader().await),
+    })
+}
+
+fn report(report: lease::Report) -> policy::Report {
+    policy::Report {
+        team: report.team,
+        held: policy::Share {
+            rate: report.held.rate,
+            burst: report.held.burst,
+        },
+        released: report.released,
+        demand: report.demand,
+    }
+}
+
+fn grant(grant: policy::Grant) -> lease::Grant {
+    lease::Grant {
+        team: grant.team,
+        share: lease::Share {
+            rate: grant.share.rate,
+            burst: grant.share.burst,
+        },
+        tokens: grant.tokens,
+    }
+}
--- /dev/null
+++ b/crates/control/src/member/sync.rs
@@ -0,0 +1,125 @@
+//! Long poll of a node, which also renews its membership.
+
+use std::time::Duration;
+
+use masticarch_model::{code, command, outcome, version};
+use masticarch_wire::message::sync;
+
+use crate::registry::{answer, presence};
+use crate::{membership, registry, services};
+
+/// Longest time for which a poll is held, whatever the node asks for.
+const MAX_HOLD: Duration = Duration::from_secs(1);
+
+/// Renews the node's membership, then answers as soon as something newer than
+/// the held version is published, and with nothing after the hold time.
+///
+/// # Errors
+/// [`code::Code::VersionConflict`] when a later incarnation has replaced the
+/// node, [`code::Code::NoQuorum`] when a service has stopped.
+pub async fn answer(
+    services: &services::Services,
+    request: sync::Request,
+) -> Result<sync::Reply, code::Code> {
+    // The round starts after the request arrived, and the registry is asked
+    // after the round: the node is current as of when it sent the request.
+    if services.log.confirm().await.is_err() {
+        return Ok(sync::Reply::NotLeader(services.log.leader().await));
+    }
+    let held = request.held;
+    let limit = Duration::from_millis(u64::from(request.hold_ms)).min(MAX_HOLD);
+    match renew(services, request).await {
+        Ok(()) => {}
+        Err(refused @ (code::Code::VersionConflict | code::Code::NoQuorum)) => return Err(refused),
+        Err(_) => return Ok(sync::Reply::NotLeader(services.log.leader().await)),
+    }
+    let answer = poll(services, held, limit).await?;
+    Ok(match answer {
+        answer::Answer::Deltas(version, deltas) => sync::Reply::Deltas(version, deltas),
+        answer::Answer::Snapshot(view) => sync::Reply::Snapshot(view),
+    })
+}
+
+/// Brings the catalog's record of the node and its targets up to date.
+async fn renew(services: &services::Services, request: sync::Request) -> Result<(), code::Code> {
+    let node = request.node;
+    if request.leaving {
+        let command = command::Command::Leave(vec![(node.name, node.incarnation)]);
+        return commit(services, &command).await;
+    }
+    let contact = membership::message::Contact {
+        name: node.name.clone(),
+        incarnation: node.incarnation,
+        held: request.held,
+    };
+    send(services, membership::message::Message::Contact(contact)).await?;
+    let targets = request.targets;
+    let asked = services
+        .registry
+        .ask(|reply| registry::message::Message::Presence(node.clone(), targets.clone(), reply));
+    let presence = asked.await.map_err(|_| code::Code::NoQuorum)?;
+    if presence == presence::Presence::Absent {
+        let name = node.name.clone();
+        commit(services, &command::Command::Join(node.clone())).await?;
+        send(services, membership::message::Message::Joined(name)).await?;
+    }
+    let announces = match presence {
+        presence::Presence::Absent => !targets.is_empty(),
+        presence::Presence::Outdated => true,
+        presence::Presence::Current => false,
+    };
+    if announces && !is_damped(services, &node.name).await? {
+        let command = command::Command::Announce(node.name, node.incarnation, targets);
+        commit(services, &command).await?;
+    }
+    Ok(())
+}
+
+/// Whether announcements are held back; the node's next poll tries again.
+async fn is_damped(
+    services: &services::Services,
+    name: &masticarch_model::name::Name,
+) -> Result<bool, code::Code> {
+    let asked = services
+        .membership
+        .ask(|reply| membership::message::Message::Damping(name.clone(), reply));
+    let damping = asked.await.map_err(|_| code::Code::NoQuorum)?;
+    Ok(!damping.is_zero())
+}
+
+async fn commit(
+    services: &services::Services,
+    command: &command::Command,
+) -> Result<(), code::Code> {
+    match services.commands.commit(command).await? {
+        outcome::Outcome::Refused(code) => {
+            services.metrics.refused(code);
+            Err(code)
+        }
+        _ => Ok(()),
+    }
+}
+
+async fn send(
+    services: &services::Services,
+    message: membership::message::Message,
+) -> Result<(), code::Code> {
+    let sent = services.membership.send(message).await;
+    sent.map_err(|_| code::Code::NoQuorum)
+}
+
+async fn poll(
+    services: &services::Services,
+    held: version::Version,
+    limit: Duration,
+) -> Result<answer::Answer, code::Code> {
+    let asked = services
+        .registry
+        .ask(|reply| registry::message::Message::Poll(held, reply));
+    if let Ok(answered) = monoio::time::timeout(limit, asked).await {
+        return answered.map_err(|_| code::Code::NoQuorum);
+    }
+    let current = |reply| registry::message::Message::Current(held, reply);
+    let answered = services.registry.ask(current).await;
+    answered.map_err(|_| code::Code::NoQuorum)
+}
--- /dev/null
+++ b/crates/control/src/membership/expiry.rs
@@ -0,0 +1,42 @@
+//! The task that removes silent nodes.
+
+use std::time::Duration;
+
+use masticarch_kernel::{error, stop};
+use masticarch_model::command;
+
+use super::message;
+use crate::{registry, services};
+
+/// Time between looks at the contacts; adds to the time until a removal.
+const PERIOD: Duration = Duration::from_millis(250);
+
+/// Proposes the removal of silent nodes until the service is asked to stop.
+pub async fn run(services: services::Services, stop: stop::Stop) {
+    while monoio::time::timeout(PERIOD, stop.wait()).await.is_err() {
+        if let Err(error) = expire(&services).await {
+            tracing::warn!(%error, "silent nodes cannot be determined");
+        }
+    }
+}
+
+async fn expire(services: &services::Services) -> Result<(), error::Error> {
+    let nodes = services
+        .registry
+        .ask(registry::message::Message::Nodes)
+        .await?;
+    let silent = services
+        .membership
+        .ask(|reply| message::Message::Silent(nodes, reply))
+        .await?;
+    if silent.is_empty() {
+        return Ok(());
+    }
+    let count = silent.len();
+    let command = command::Command::Leave(silent);
+    match services.commands.commit(&command).await {
+        Ok(_) => services.metrics.expired(count),
+        Err(code) => services.metrics.refused(code),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/control/src/name.rs
@@ -0,0 +1,18 @@
+//! Names of the services of the control role.
+
+use masticarch_kernel::name::Name;
+
+/// The replicated log.
+pub const AGREEMENT: Name = Name::new("agreement");
+/// Owner of the catalog.
+pub const REGISTRY: Name = Name::new("registry");
+/// Owner of the rate shares.
+pub const ALLOTMENT: Name = Name::new("allotment");
+/// Owner of the times of last contact.
+pub const MEMBERSHIP: Name = Name::new("membership");
+/// Listener for members and nodes.
+pub const MEMBER: Name = Name::new("member");
+/// Listener for operators.
+pub const OPERATOR: Name = Name::new("operator");
+/// Listener for metrics and health.
+pub const ADMIN: Name = Name::new("admin");
--- /dev/null
+++ b/crates/control/src/operator/mod.rs
@@ -0,0 +1,6 @@
+//! The port for operators.
+
+mod call;
+pub mod port;
+mod server;
+mod status;
--- /dev/null
+++ b/crates/control/src/operator/status.rs
@@ -0,0 +1,73 @@
+//! State of the fleet for operators.
+
+use masticarch_kernel::error;
+use masticarch_model::{incarnation, map, view};
+use masticarch_policy::share::lease;
+use masticarch_wire::message::status;
+
+use crate::{allotment, membership, registry, services};
+
+/// Collects the state of the fleet from the services that own its parts.
+///
+/// # Errors
+/// [`error::Error::Closed`] when a service has stopped.
+pub async fn collect(services: &services::Services) -> Result<status::Status, error::Error> {
+    let log = services.log.status().await?;
+    let view = services
+        .registry
+        .ask(registry::message::Message::View)
+        .await?;
+    let silences = services
+        .membership
+        .ask(membership::message::Message::Silences)
+        .await?;
+    let usage = services
+        .allotment
+        .ask(allotment::message::Message::Usage)
+        .await?;
+    let silences = silences
+        .into_iter()
+        .map(|silence| (silence.incarnation, silence))
+        .collect();
+    Ok(status::Status {
+        version: view.version,
+        configuration_version: view.configuration_version,
+        term: log.term,
+        members: log.members,
+        nodes: view
+            .nodes
+            .into_iter()
+            .map(|entry| node(entry, &silences))
+            .collect(),
+        teams: usage.into_iter().map(team).collect(),
+    })
+}
+
+fn node(
+    entry: view::Entry,
+    silences: &map::Map<incarnation::Incarnation, membership::message::Silence>,
+) -> status::Node {
+    let silence = silences.get(&entry.node.incarnation);
+    // A node that this leader has not heard from yet counts as silent since
+    // before its time.
+    let silent_ms = silence.map_or(u64::MAX, |silence| {
+        u64::try_from(silence.silent.as_millis()).unwrap_or(u64::MAX)
+    });
+    status::Node {
+        name: entry.node.name,
+        incarnation: entry.node.incarnation,
+        place: entry.node.place,
+        held: silence.map(|silence| silence.held).unwrap_or_default(),
+        silent_ms,
+        targets: entry.targets,
+    }
+}
+
+fn team(usage: lease::Usage) -> status::Team {
+    status::Team {
+        name: usage.team,
+        rate: usage.whole.rate,
+        leased: usage.leased.rate,
+        demand: usage.demand,
+    }
+}
--- /dev/null
+++ b/crates/control/src/registry/client.rs
@@ -0,0 +1,42 @@
+//! Commands proposed to the log, with their results from the catalog.
+
+use masticarch_kernel::address;
+use masticarch_model::{code, command, outcome};
+use masticarch_wire::message as wire;
+
+use super::message;
+use crate::log;
+
+/// Commits commands and returns their results; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct Client {
+    log: log::client::Client,
+    registry: address::Address<message::Message>,
+}
+
+impl Client {
+    /// Makes a client of a log and its registry.
+    #[must_use]
+    pub const fn new(
+        log: log::client::Client,
+        registry: address::Address<message::Message>,
+    ) -> Self {
+        Self { log, registry }
+    }
+
+    /// Commits a command and returns its result.
+    ///
+    /// # Errors
+    /// The code of the log when the command is not committed;
+    /// [`code::Code::TimeoutOutcomeUnknown`] when it may be.
+    pub async fn commit(&self, command: &command::Command) -> Result<outcome::Outcome, code::Code> {
+        let index = self.log.propose(wire::encode(command)).await?;
+        let asked = self
+            .registry
+            .ask(|reply| message::Message::Outcome(index, reply));
+        match monoio::time::timeout(log::client::TIMEOUT, asked).await {
+            Ok(Ok(Some(outcome))) => Ok(outcome),
+            Ok(Ok(None) | Err(_)) | Err(_) => Err(code::Code::TimeoutOutcomeUnknown),
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/registry/message.rs
@@ -0,0 +1,47 @@
+//! What the log and the other services ask of the registry.
+
+use masticarch_kernel::reply;
+use masticarch_model::{
+    catalog, change, claim, incarnation, name, node, outcome, target, version, view,
+};
+
+use super::{answer, presence, snapshot};
+
+/// Asked of the service [`crate::name::REGISTRY`].
+#[derive(Debug)]
+pub enum Message {
+    /// The entry at this index is committed; an empty one holds no command.
+    /// Sent in the order of the log.
+    Committed(u64, Vec<u8>),
+    /// Replaces the catalog by this snapshot, complete up to this index.
+    Install(u64, Vec<u8>),
+    /// Encodes the catalog; `None` when it cannot be encoded.
+    TakeSnapshot(reply::Reply<Option<snapshot::Snapshot>>),
+    /// Whether this process leads; sent once for each term that it leads.
+    Role(bool),
+    /// The result of the command at an index, once it is applied; `None` when
+    /// it is no longer kept.
+    Outcome(u64, reply::Reply<Option<outcome::Outcome>>),
+    /// Answers once something newer than the held version is published.
+    Poll(version::Version, reply::Reply<answer::Answer>),
+    /// Answers a poll at once.
+    Current(version::Version, reply::Reply<answer::Answer>),
+    /// Whether the catalog knows a node with these targets.
+    Presence(
+        node::Node,
+        Vec<target::Target>,
+        reply::Reply<presence::Presence>,
+    ),
+    /// The nodes that have joined.
+    Nodes(reply::Reply<Vec<(name::Name, incarnation::Incarnation)>>),
+    /// The claim on a subject.
+    Claim(claim::Subject, reply::Reply<Option<claim::Claim>>),
+    /// Settled claims whose retention is over; none unless this process leads.
+    Forgettable(reply::Reply<Vec<claim::Subject>>),
+    /// The result that a change would have.
+    Check(change::Change, reply::Reply<outcome::Outcome>),
+    /// The latest accepted changes, up to this number.
+    History(u32, reply::Reply<Vec<catalog::Record>>),
+    /// The whole view.
+    View(reply::Reply<view::View>),
+}
--- /dev/null
+++ b/crates/control/src/registry/mod.rs
@@ -0,0 +1,12 @@
+//! Owner of the catalog: applies committed commands and wakes long polls.
+
+pub mod answer;
+pub mod client;
+pub mod message;
+mod outcomes;
+mod polls;
+pub mod presence;
+mod retention;
+pub mod service;
+pub mod snapshot;
+pub mod sweep;
--- /dev/null
+++ b/crates/control/src/registry/retention.rs
@@ -0,0 +1,43 @@
+//! When settled claims may be forgotten.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use masticarch_model::version;
+
+/// Time for which settled claims are kept (section 3.4 of the design page).
+pub const RETENTION: Duration = Duration::from_mins(10);
+
+/// A version that had been reached at a time.
+#[derive(Clone, Copy, Debug)]
+struct Sample {
+    time: Instant,
+    version: version::Version,
+}
+
+/// Versions by the leader's clock. A new leader starts over, so that claims
+/// are kept for longer after a change of leader, never for less time.
+#[derive(Clone, Debug, Default)]
+pub struct Retention {
+    samples: VecDeque<Sample>,
+}
+
+impl Retention {
+    /// Forgets all samples.
+    pub fn clear(&mut self) {
+        self.samples.clear();
+    }
+
+    /// Adds a sample, and returns the version up to which retention is over.
+    pub fn sample(&mut self, time: Instant, version: version::Version) -> version::Version {
+        self.samples.push_back(Sample { time, version });
+        let over = |sample: &Sample| time.saturating_duration_since(sample.time) >= RETENTION;
+        while self.samples.len() > 1 && self.samples.get(1).is_some_and(over) {
+            self.samples.pop_front();
+        }
+        let oldest = self.samples.front().copied();
+        oldest
+            .filter(over)
+            .map_or_else(version::Version::default, |sample| sample.version)
+    }
+}
--- /dev/null
+++ b/crates/control/src/registry/service.rs
@@ -0,0 +1,244 @@
+//! The task that owns the catalog.
+
+use std::time::{Duration, Instant};
+
+use masticarch_kernel::{address, mailbox, stop};
+use masticarch_model::{catalog, claim, command, node, target, version};
+use masticarch_policy::share::lease;
+use masticarch_wire::message as wire;
+
+use super::{answer, message, outcomes, polls, presence, retention, snapshot};
+use crate::{allotment, event, membership, metrics};
+
+/// Time between clean-ups of abandoned polls.
+const PERIOD: Duration = Duration::from_secs(1);
+/// Claims forgotten by one command, so that no entry of the log grows large.
+const MAX_FORGOTTEN: usize = 1_000;
+
+/// Owner of the catalog. It waits for no other service but to hand on roles and
+/// limits, and those two services never wait for it.
+pub struct Service {
+    catalog: catalog::Catalog,
+    outcomes: outcomes::Outcomes,
+    polls: polls::Polls,
+    retention: retention::Retention,
+    leads: bool,
+    allotment: address::Address<allotment::message::Message>,
+    membership: address::Address<membership::message::Message>,
+    metrics: metrics::Metrics,
+}
+
+impl Service {
+    /// Makes the owner of an empty catalog.
+    #[must_use]
+    pub fn new(
+        allotment: address::Address<allotment::message::Message>,
+        membership: address::Address<membership::message::Message>,
+        metrics: metrics::Metrics,
+    ) -> Self {
+        let mut outcomes = outcomes::Outcomes::default();
+        outcomes.restart(0);
+        Self {
+            catalog: catalog::Catalog::new(),
+            outcomes,
+            polls: polls::Polls::default(),
+            retention: retention::Retention::default(),
+            leads: false,
+            allotment,
+            membership,
+            metrics,
+        }
+    }
+
+    /// Handles messages until the service is asked to stop.
+    pub async fn run(mut self, mailbox: mailbox::Mailbox<message::Message>, stop: stop::Stop) {
+        let mut events = event::Events::new(mailbox, PERIOD, stop);
+        loop {
+            match events.next().await {
+                event::Event::Message(message) => self.handle(message).await,
+                event::Event::Tick => self.polls.prune(),
+                event::Event::Stop => return,
+            }
+        }
+    }
+
+    /// Handles one message. Nobody waiting for a reply any more is no error.
+    async fn handle(&mut self, message: message::Message) {
+        match message {
+            message::Message::Committed(index, bytes) => self.commit(index, &bytes).await,
+            message::Message::Install(index, bytes) => self.install(index, &bytes).await,
+            message::Message::Role(leads) => self.change_role(leads).await,
+            message::Message::Outcome(index, reply) => self.outcomes.answer(index, reply),
+            message::Message::Poll(held, reply) => self.polls.add(&self.catalog, held, reply),
+            other => self.read(other),
+        }
+    }
+
+    /// Answers requests that change nothing in the catalog.
+    fn read(&mut self, message: message::Message) {
+        match message {
+            message::Message::TakeSnapshot(reply) => {
+                let _ = reply.send(self.snapshot());
+            }
+            message::Message::Current(held, reply) => {
+                let _ = reply.send(answer::Answer::new(&self.catalog, held));
+            }
+            message::Message::Presence(node, targets, reply) => {
+                let _ = reply.send(self.presence(&node, targets));
+            }
+            message::Message::Nodes(reply) => {
+                let nodes = self.catalog.view().nodes.iter().map(|entry| &entry.node);
+                let nodes = nodes.map(|node| (node.name.clone(), node.incarnation));
+                let _ = reply.send(nodes.collect());
+            }
+            message::Message::Claim(subject, reply) => {
+                let _ = reply.send(self.catalog.claim(&subject).cloned());
+            }
+            message::Message::Forgettable(reply) => {
+                let _ = reply.send(self.forgettable());
+            }
+            message::Message::Check(change, reply) => {
+                let _ = reply.send(self.catalog.check(&change));
+            }
+            message::Message::History(count, reply) => {
+                let count = usize::try_from(count).unwrap_or(usize::MAX);
+                let _ = reply.send(self.catalog.history().take(count).cloned().collect());
+            }
+            message::Message::View(reply) => {
+                let _ = reply.send(self.catalog.view().clone());
+            }
+            message::Message::Committed(..)
+            | message::Message::Install(..)
+            | message::Message::Role(_)
+            | message::Message::Outcome(..)
+            | message::Message::Poll(..) => {}
+        }
+    }
+
+    async fn commit(&mut self, index: u64, bytes: &[u8]) {
+        if index <= self.catalog.version().0 {
+            return;
+        }
+        if index != self.catalog.version().0 + 1 {
+            self.outcomes.restart(index - 1);
+        }
+        let configured = self.catalog.view().configuration_version;
+        let published = self.catalog.published();
+        self.apply(index, bytes);
+        self.metrics.applied(index);
+        if self.catalog.published() != published {
+            self.polls.wake(&self.catalog);
+        }
+        if self.catalog.view().configuration_version != configured {
+            self.send_limits().await;
+        }
+    }
+
+    fn apply(&mut self, index: u64, bytes: &[u8]) {
+        if bytes.is_empty() {
+            self.catalog.advance(index);
+            self.outcomes.push(None);
+            return;
+        }
+        match wire::decode::<command::Command>(bytes) {
+            Ok(command) => {
+                let outcome = self.catalog.apply(index, command);
+                self.outcomes.push(Some(outcome));
+            }
+            Err(error) => {
+                // Every member skips the entry, so that the catalogs stay equal.
+                tracing::error!(index, %error, "entry of the log cannot be decoded");
+                self.catalog.advance(index);
+                self.outcomes.push(None);
+            }
+        }
+    }
+
+    async fn install(&mut self, index: u64, bytes: &[u8]) {
+        match catalog::Catalog::decode(bytes) {
+            Ok(catalog) => self.catalog = catalog,
+            Err(error) => {
+                tracing::error!(index, %error, "snapshot of the catalog cannot be decoded");
+                return;
+            }
+        }
+        self.outcomes.restart(index);
+        self.metrics.applied(index);
+        self.polls.wake(&self.catalog);
+        self.send_limits().await;
+    }
+
+    async fn change_role(&mut self, leads: bool) {
+        tracing::info!(leads, "role changed");
+        self.leads = leads;
+        self.retention.clear();
+        self.metrics.leads(leads);
+        let _ = self
+            .membership
+            .send(membership::message::Message::Role(leads))
+            .await;
+        let _ = self
+            .allotment
+            .send(allotment::message::Message::Role(leads))
+            .await;
+        self.send_limits().await;
+    }
+
+    async fn send_limits(&self) {
+        let limits = limits(&self.catalog);
+        let _ = self
+            .allotment
+            .send(allotment::message::Message::Limits(limits))
+            .await;
+    }
+
+    fn snapshot(&self) -> Option<snapshot::Snapshot> {
+        let bytes = self.catalog.encode();
+        let bytes = bytes.inspect_err(|error| tracing::error!(%error, "no snapshot taken"));
+        Some(snapshot::Snapshot {
+            index: self.catalog.version().0,
+            bytes: bytes.ok()?,
+        })
+    }
+
+    fn presence(&self, node: &node::Node, targets: Vec<target::Target>) -> presence::Presence {
+        let entry = self.catalog.node(&node.name);
+        let Some(entry) = entry.filter(|entry| entry.node == *node) else {
+            return presence::Presence::Absent;
+        };
+        let targets = self.catalog.effective(node.incarnation, targets);
+        if entry.targets == targets {
+            presence::Presence::Current
+        } else {
+            presence::Presence::Outdated
+        }
+    }
+
+    fn forgettable(&mut self) -> Vec<claim::Subject> {
+        if !self.leads {
+            return Vec::new();
+        }
+        let version = self.catalog.version();
+        let over = self.retention.sample(Instant::now(), version);
+        if over == version::Version::default() {
+            return Vec::new();
+        }
+        self.catalog.settled_until(over, MAX_FORGOTTEN)
+    }
+}
+
+/// The limits of all teams.
+fn limits(catalog: &catalog::Catalog) -> Vec<lease::Limit> {
+    let set = &catalog.view().configuration;
+    let limit = |team: &masticarch_model::team::Team| {
+        let limit = set.limits.iter().find(|limit| limit.name == team.limit)?;
+        Some(lease::Limit {
+            team: team.name.clone(),
+            whole: lease::Share {
+                rate: limit.rate_per_second,
+                burst: f64::from(limit.burst),
+            },
+        })
+    };
+    set.teams.iter().filter_map(limit).collect()
+}
--- /dev/null
+++ b/crates/control/src/registry/sweep.rs
@@ -0,0 +1,33 @@
+//! The task that forgets settled claims after their retention.
+
+use std::time::Duration;
+
+use masticarch_kernel::stop;
+use masticarch_model::command;
+
+use super::message;
+use crate::services;
+
+/// Time between sweeps; small against the retention of ten minutes.
+const PERIOD: Duration = Duration::from_secs(10);
+
+/// Proposes to forget settled claims until the service is asked to stop.
+pub async fn run(services: services::Services, stop: stop::Stop) {
+    while monoio::time::timeout(PERIOD, stop.wait()).await.is_err() {
+        sweep(&services).await;
+    }
+}
+
+async fn sweep(services: &services::Services) {
+    loop {
+        let asked = services.registry.ask(message::Message::Forgettable).await;
+        let subjects = asked.unwrap_or_default();
+        if subjects.is_empty() {
+            return;
+        }
+        let command = command::Command::Forget(subjects);
+        if services.commands.commit(&command).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/role.rs
@@ -0,0 +1,126 @@
+//! The control role: its services, connected and started.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use masticarch_kernel::{kernel, stop};
+
+use crate::{
+    admin, allotment, error, listener, log, member, membership, metrics, name, operator, options,
+    registry, services,
+};
+
+/// Messages that a mailbox holds before its senders wait.
+const CAPACITY: usize = 1_024;
+/// Time for each service to stop.
+const STOP_LIMIT: Duration = Duration::from_secs(2);
+
+/// Runs the control role until it is asked to stop.
+///
+/// # Errors
+/// [`error::Error`] when a port cannot be opened or a service not be connected.
+pub async fn run(options: options::Options, stop: stop::Stop) -> Result<(), error::Error> {
+    let ports = Ports::open(&options)?;
+    let mut kernel = kernel::Kernel::new();
+    let services = start_owners(&mut kernel, &options)?;
+    start_ports(&mut kernel, ports, &services, options);
+    tracing::info!("control role started");
+    stop.wait().await;
+    kernel.shutdown(STOP_LIMIT).await;
+    tracing::info!("control role stopped");
+    Ok(())
+}
+
+/// The listening sockets, opened before any service starts.
+struct Ports {
+    member: listener::Listener,
+    operator: listener::Listener,
+    admin: listener::Listener,
+}
+
+impl Ports {
+    fn open(options: &options::Options) -> Result<Self, error::Error> {
+        Ok(Self {
+            member: listener::Listener::bind(name::MEMBER, options.member)?,
+            operator: listener::Listener::bind(name::OPERATOR, options.operator)?,
+            admin: listener::Listener::bind(name::ADMIN, options.admin)?,
+        })
+    }
+}
+
+/// Starts the services that own state.
+fn start_owners(
+    kernel: &mut kernel::Kernel,
+    options: &options::Options,
+) -> Result<services::Services, error::Error> {
+    let agreement = kernel.register::<log::message::Message>(name::AGREEMENT, CAPACITY)?;
+    let registry = kernel.register::<registry::message::Message>(name::REGISTRY, CAPACITY)?;
+    let allotment = kernel.register::<allotment::message::Message>(name::ALLOTMENT, CAPACITY)?;
+    let membership = kernel.register::<membership::message::Message>(name::MEMBERSHIP, CAPACITY)?;
+    let services = connect(kernel)?;
+
+    let advertised = options.advertised.unwrap_or(options.member);
+    let single = log::single::Single::new(options.id, advertised, services.registry.clone());
+    kernel.start(name::AGREEMENT, |stop| single.run(agreement, stop));
+    let owner = registry::service::Service::new(
+        services.allotment.clone(),
+        services.membership.clone(),
+        services.metrics.clone(),
+    );
+    kernel.start(name::REGISTRY, |stop| owner.run(registry, stop));
+    let sweeping = services.clone();
+    kernel.start(name::REGISTRY, |stop| registry::sweep::run(sweeping, stop));
+    kernel.start(name::ALLOTMENT, |stop| {
+        allotment::service::Service::new().run(allotment, stop)
+    });
+    kernel.start(name::MEMBERSHIP, |stop| {
+        membership::service::Service::new().run(membership, stop)
+    });
+    let expiring = services.clone();
+    kernel.start(name::MEMBERSHIP, |stop| {
+        membership::expiry::run(expiring, stop)
+    });
+    Ok(services)
+}
+
+/// Finds the services by name.
+fn connect(kernel: &kernel::Kernel) -> Result<services::Services, error::Error> {
+    let found = kernel.registry();
+    let log = log::client::Client::new(found.lookup(name::AGREEMENT)?);
+    let registry = found.lookup(name::REGISTRY)?;
+    Ok(services::Services {
+        commands: registry::client::Client::new(log.clone(), registry.clone()),
+        log,
+        registry,
+        allotment: found.lookup(name::ALLOTMENT)?,
+        membership: found.lookup(name::MEMBERSHIP)?,
+        metrics: metrics::Metrics::new()?,
+    })
+}
+
+/// Starts the services that own listening sockets.
+fn start_ports(
+    kernel: &mut kernel::Kernel,
+    ports: Ports,
+    services: &services::Services,
+    options: options::Options,
+) {
+    let (shared, credential) = (services.clone(), options.credential);
+    kernel.start(name::MEMBER, |stop| {
+        ports.member.run(stop, move |connection| {
+            member::port::serve(connection, shared.clone(), credential.clone())
+        })
+    });
+    let (shared, credentials) = (services.clone(), Rc::from(options.operators));
+    kernel.start(name::OPERATOR, |stop| {
+        ports.operator.run(stop, move |connection| {
+            operator::port::serve(connection, shared.clone(), Rc::clone(&credentials))
+        })
+    });
+    let shared = services.clone();
+    kernel.start(name::ADMIN, |stop| {
+        ports.admin.run(stop, move |connection| {
+            admin::port::serve(connection, shared.clone())
+        })
+    });
+}
--- /dev/null
+++ b/crates/control/src/services.rs
@@ -0,0 +1,22 @@
+//! Addresses of the services that calls use.
+
+use masticarch_kernel::address;
+
+use crate::{allotment, log, membership, metrics, registry};
+
+/// Addresses of the services that calls use; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct Services {
+    /// The replicated log.
+    pub log: log::client::Client,
+    /// Commands with their results.
+    pub commands: registry::client::Client,
+    /// Owner of the catalog.
+    pub registry: address::Address<registry::message::Message>,
+    /// Owner of the rate shares.
+    pub allotment: address::Address<allotment::message::Message>,
+    /// Owner of the times of last contact.
+    pub membership: address::Address<membership::message::Message>,
+    /// Metrics.
+    pub metrics: metrics::Metrics,
+}
--- a/crates/model/src/catalog.rs
+++ b/crates/model/src/catalog.rs
@@ -89,6 +89,29 @@
         self.changes.accepted()
     }
 
+    /// A present node with its targets.
+    #[must_use]
+    pub fn node(&self, name: &name::Name) -> Option<&view::Entry> {
+        let mut entries = self.view.nodes.iter();
+        entries.find(|entry| entry.node.name == *name)
+    }
+
+    /// The targets as they are published when an incarnation announces them:
+    /// all are draining when an operator has asked the node to drain.
+    #[must_use]
+    pub fn effective(
+        &self,
+        incarnation: incarnation::Incarnation,
+        mut targets: Vec<target::Target>,
+    ) -> Vec<target::Target> {
+        if self.fleet.is_draining(incarnation) {
+            for target in &mut targets {
+                target.state = target::State::Draining;
+            }
+        }
+        targets
+    }
+
     /// The claim on a subject.
     #[must_use]
     pub fn claim(&self, subject: &claim::Subject) -> Option<&claim::Claim> {
@@ -128,6 +151,7 @@
                 self.claims.forget(&subjects);
                 outcome::Outcome::Applied
             }
+            command::Command::Drain(name) => self.drain(&name),
         }
     }
 
@@ -226,17 +250,25 @@
         incarnation: incarnation::Incarnation,
         targets: Vec<target::Target>,
     ) -> outcome::Outcome {
-        if !self.fleet.has(incarnation) {
+        if !self.fleet.is_at(&name, incarnation) {
             return outcome::Outcome::Refused(code::Code::NoSuchObject);
         }
-        let mut entries = self.view.nodes.iter();
-        let known = entries.find(|entry| entry.node.incarnation == incarnation);
+        let targets = self.effective(incarnation, targets);
+        let known = self.node(&name);
         if known.is_some_and(|entry| entry.targets != targets) {
             self.publish(delta::Delta::Announced(name, incarnation, targets));
         }
         outcome::Outcome::Applied
     }
 
+    fn drain(&mut self, name: &name::Name) -> outcome::Outcome {
+        let Some(incarnation) = self.fleet.drain(name) else {
+            return outcome::Outcome::Refused(code::Code::NoSuchObject);
+        };
+        let targets = self.node(name).map(|entry| entry.targets.clone());
+        self.announce(name.clone(), incarnation, targets.unwrap_or_default())
+    }
+
     fn make_claim(
         &mut self,
         subject: claim::Subject,
--- a/crates/model/src/catalog/fleet.rs
+++ b/crates/model/src/catalog/fleet.rs
@@ -29,6 +29,7 @@
     by_name: map::Map<name::Name, incarnation::Incarnation>,
     present: map::Set<incarnation::Incarnation>,
     replaced: VecDeque<incarnation::Incarnation>,
+    draining: map::Set<incarnation::Incarnation>,
 }
 
 impl Fleet {
@@ -37,6 +38,11 @@
         self.present.contains(&incarnation)
     }
 
+    /// Whether a node is present with this incarnation.
+    pub fn is_at(&self, name: &name::Name, incarnation: incarnation::Incarnation) -> bool {
+        self.by_name.get(name) == Some(&incarnation)
+    }
+
     /// Adds a node unless a later incarnation has replaced it. An incarnation
     /// that only expired may join again, as after a network partition.
     pub fn join(&mut self, node: &node::Node) -> Joining {
@@ -58,15 +64,28 @@
 
     /// Removes a node if it has this incarnation; tells whether it had.
     pub fn leave(&mut self, name: &name::Name, incarnation: incarnation::Incarnation) -> bool {
-        if self.by_name.get(name) != Some(&incarnation) {
+        if !self.is_at(name, incarnation) {
             return false;
         }
         self.by_name.remove(name);
         self.present.remove(&incarnation)
     }
 
+    /// Marks the present incarnation of a node as draining, and returns it.
+    pub fn drain(&mut self, name: &name::Name) -> Option<incarnation::Incarnation> {
+        let incarnation = *self.by_name.get(name)?;
+        self.draining.insert(incarnation);
+        Some(incarnation)
+    }
+
+    /// Whether an operator has asked an incarnation to drain.
+    pub fn is_draining(&self, incarnation: incarnation::Incarnation) -> bool {
+        self.draining.contains(&incarnation)
+    }
+
     fn replace(&mut self, earlier: incarnation::Incarnation) {
         self.present.remove(&earlier);
+        self.draining.remove(&earlier);
         self.replaced.push_back(earlier);
         if self.replaced.len() > KEPT {
             self.replaced.pop_front();
--- a/crates/model/src/command.rs
+++ b/crates/model/src/command.rs
@@ -21,4 +21,7 @@
     Settle(claim::Subject, attempt::Attempt, settlement::Settlement),
     /// Forgets settled claims.
     Forget(Vec<claim::Subject>),
+    /// Asks a node to drain: its targets take nothing new until another
+    /// incarnation joins.
+    Drain(name::Name),
 }
