Add HTTP/1.1 with guards before and after the decoder

Cause: the decoder of monoio-http panics on long header names, buffers heads without a bound and accepts contradicting lengths. Ruled out: wrapping the stream below the library's codec, which would read each head twice and hides whether a byte of a request was written. Change: a connection owns its input buffer, checks the raw head first, and then hands it to the library's head and chunk decoders. Bodies are read whole.

--- /dev/null
+++ b/crates/wire/src/http/answer.rs
@@ -0,0 +1,57 @@
+//! Answers with their whole body.
+
+use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, StatusCode};
+
+use super::request;
+
+/// An answer with its whole body.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers; the encoder writes the length itself.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+    /// Whether the sender keeps the connection open.
+    pub keep_alive: bool,
+}
+
+impl Answer {
+    /// An answer without headers.
+    #[must_use]
+    pub fn new(status: StatusCode, body: impl Into<Bytes>) -> Self {
+        Self {
+            status,
+            headers: HeaderMap::new(),
+            body: body.into(),
+            keep_alive: true,
+        }
+    }
+
+    /// Appends the encoded answer. The answer to a `HEAD` request goes without
+    /// its body and without a length.
+    pub fn encode(&self, head_only: bool, output: &mut BytesMut) {
+        output.extend_from_slice(b"HTTP/1.1 ");
+        output.extend_from_slice(self.status.as_str().as_bytes());
+        output.extend_from_slice(b" ");
+        let reason = self.status.canonical_reason().unwrap_or("Status");
+        output.extend_from_slice(reason.as_bytes());
+        output.extend_from_slice(b"\r\n");
+        request::encode_headers(&self.headers, output);
+        if !self.keep_alive {
+            output.extend_from_slice(b"connection: close\r\n");
+        }
+        let bodiless = head_only
+            || self.status == StatusCode::NO_CONTENT
+            || self.status == StatusCode::NOT_MODIFIED;
+        if !bodiless {
+            request::encode_length(self.body.len(), output);
+        }
+        output.extend_from_slice(b"\r\n");
+        if !bodiless {
+            output.extend_from_slice(&self.body);
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/http/connection.rs
@@ -0,0 +1,299 @@
+//! One connection with its input buffer.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures::FutureExt;
+use http::{Method, header};
+use monoio::buf::IoBufMut;
+use monoio::io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt};
+use monoio_codec::{Decoded, Decoder};
+use monoio_http::h1::codec::decoder;
+
+use super::{answer, fault, framing, guard, limits, request};
+
+/// Space made for one read.
+const READ_BYTES: usize = 8 << 10;
+/// Space for bytes that arrive while an answer is awaited.
+const WATCH_BYTES: usize = 2 << 10;
+/// Larger input buffers are not kept between messages.
+const KEPT_BYTES: usize = 64 << 10;
+
+/// Why a request got no answer.
+#[derive(Debug)]
+pub struct Failure {
+    /// What went wrong.
+    pub fault: fault::Fault,
+    /// Whether any byte of the request may have reached the other side.
+    pub sent: bool,
+}
+
+/// One connection with its input buffer. It serves one request at a time, in
+/// the order of arrival.
+#[derive(Debug)]
+pub struct Connection<S> {
+    stream: S,
+    input: BytesMut,
+    output: BytesMut,
+}
+
+impl<S: AsyncReadRent + AsyncWriteRent> Connection<S> {
+    /// Wraps an open stream.
+    #[must_use]
+    pub fn new(stream: S) -> Self {
+        Self {
+            stream,
+            input: BytesMut::new(),
+            output: BytesMut::new(),
+        }
+    }
+
+    /// Waits for the first byte of the next message; `false` when the other
+    /// side closed instead. Dropping the future while no byte has arrived
+    /// loses nothing.
+    pub async fn ready(&mut self) -> bool {
+        !self.input.is_empty() || self.fill().await.is_ok()
+    }
+
+    /// Reads the rest of a request whose first byte has arrived.
+    ///
+    /// # Errors
+    /// A [`fault::Fault`], after which the connection must be closed.
+    pub async fn receive(&mut self, max_body: usize) -> Result<request::Request, fault::Fault> {
+        self.head(limits::HEAD_TIMEOUT).await?;
+        let Decoded::Some(head) = decoder::RequestHeadDecoder
+            .decode(&mut self.input)
+            .map_err(|_| fault::Fault::Malformed("request head"))?
+        else {
+            return Err(fault::Fault::Malformed("request head"));
+        };
+        let framing = framing::Framing::request(&head.headers)?;
+        if head.headers.contains_key(header::EXPECT) && self.input.is_empty() {
+            self.write(Bytes::from_static(b"HTTP/1.1 100 Continue\r\n\r\n"))
+                .await?;
+        }
+        let body = monoio::time::timeout(limits::BODY_TIMEOUT, self.body(framing, max_body))
+            .await
+            .map_err(|_| fault::Fault::Slow)??;
+        Ok(request::Request {
+            keep_alive: request::keeps_alive(head.version, &head.headers),
+            method: head.method,
+            uri: head.uri,
+            headers: head.headers,
+            body,
+        })
+    }
+
+    /// Sends an answer.
+    ///
+    /// # Errors
+    /// [`fault::Fault::Closed`].
+    pub async fn reply(
+        &mut self,
+        answer: &answer::Answer,
+        head_only: bool,
+    ) -> Result<(), fault::Fault> {
+        let mut output = std::mem::take(&mut self.output);
+        answer.encode(head_only, &mut output);
+        let (written, mut output) = self.stream.write_all(output).await;
+        written?;
+        output.clear();
+        if output.capacity() <= KEPT_BYTES {
+            self.output = output;
+        }
+        Ok(())
+    }
+
+    /// Waits until the other side closes. Requests that it sends meanwhile are
+    /// kept for later, up to [`limits::READ_AHEAD_BYTES`].
+    pub async fn closed(&mut self) {
+        while self.input.len() < limits::READ_AHEAD_BYTES {
+            let (read, buffer) = self.stream.read(BytesMut::with_capacity(WATCH_BYTES)).await;
+            match read {
+                Ok(0) | Err(_) => return,
+                Ok(_) => self.input.extend_from_slice(&buffer),
+            }
+        }
+        std::future::pending::<()>().await;
+    }
+
+    /// Whether an idle connection may carry a request: still open, and no byte
+    /// has arrived that nobody asked for.
+    pub fn is_idle(&mut self) -> bool {
+        self.input.is_empty() && self.fill().now_or_never().is_none()
+    }
+
+    /// Sends a request and reads its whole answer. The connection may be used
+    /// again only when the answer keeps it alive.
+    ///
+    /// # Errors
+    /// A [`Failure`], after which the connection must be closed.
+    pub async fn exchange(
+        &mut self,
+        request: &request::Request,
+        max_body: usize,
+    ) -> Result<answer::Answer, Failure> {
+        self.send(request).await?;
+        let answer = self.receive_answer(&request.method, max_body).await;
+        answer.map_err(|fault| Failure { fault, sent: true })
+    }
+
+    async fn send(&mut self, request: &request::Request) -> Result<(), Failure> {
+        let mut output = std::mem::take(&mut self.output);
+        request.encode(&mut output);
+        let (first, output) = self.stream.write(output).await;
+        let written = match first {
+            Ok(written) if written > 0 => written,
+            _ => {
+                return Err(Failure {
+                    fault: fault::Fault::Closed,
+                    sent: false,
+                });
+            }
+        };
+        let closed = |_| Failure {
+            fault: fault::Fault::Closed,
+            sent: true,
+        };
+        let mut output = output;
+        if written < output.len() {
+            let rest = output.split_off(written);
+            self.stream.write_all(rest).await.0.map_err(closed)?;
+        }
+        output.clear();
+        if output.capacity() <= KEPT_BYTES {
+            self.output = output;
+        }
+        Ok(())
+    }
+
+    async fn receive_answer(
+        &mut self,
+        method: &Method,
+        max_body: usize,
+    ) -> Result<answer::Answer, fault::Fault> {
+        for _ in 0..limits::INTERIM_ANSWERS {
+            self.whole_head().await?;
+            let Decoded::Some(head) = decoder::ResponseHeadDecoder
+                .decode(&mut self.input)
+                .map_err(|_| fault::Fault::Malformed("answer head"))?
+            else {
+                return Err(fault::Fault::Malformed("answer head"));
+            };
+            if head.status.is_informational() {
+                continue;
+            }
+            let framing = framing::Framing::answer(method, head.status, &head.headers)?;
+            let body = self.body(framing, max_body).await?;
+            // Bytes after the answer belong to no request of this connection.
+            let keep_alive =
+                self.input.is_empty() && request::keeps_alive(head.version, &head.headers);
+            return Ok(answer::Answer {
+                status: head.status,
+                headers: head.headers,
+                body,
+                keep_alive,
+            });
+        }
+        Err(fault::Fault::Malformed("too many interim answers"))
+    }
+
+    async fn head(&mut self, limit: Duration) -> Result<(), fault::Fault> {
+        if guard::head(&self.input)?.is_some() {
+            return Ok(());
+        }
+        monoio::time::timeout(limit, self.whole_head())
+            .await
+            .map_err(|_| fault::Fault::Slow)?
+    }
+
+    async fn whole_head(&mut self) -> Result<(), fault::Fault> {
+        while guard::head(&self.input)?.is_none() {
+            self.fill().await?;
+        }
+        Ok(())
+    }
+
+    async fn body(
+        &mut self,
+        framing: framing::Framing,
+        max_body: usize,
+    ) -> Result<Bytes, fault::Fault> {
+        match framing {
+            framing::Framing::None => Ok(Bytes::new()),
+            framing::Framing::Length(length) if length > max_body => {
+                Err(fault::Fault::BodyTooLarge)
+            }
+            framing::Framing::Length(length) => self.fixed(length).await,
+            framing::Framing::Chunked => self.chunked(max_body).await,
+        }
+    }
+
+    async fn fixed(&mut self, length: usize) -> Result<Bytes, fault::Fault> {
+        while self.input.len() < length {
+            self.fill_body().await?;
+        }
+        Ok(self.input.split_to(length).freeze())
+    }
+
+    async fn chunked(&mut self, max_body: usize) -> Result<Bytes, fault::Fault> {
+        let mut decoder = decoder::ChunkedBodyDecoder::default();
+        let mut body = BytesMut::new();
+        loop {
+            while self.input.is_empty() {
+                self.fill_body().await?;
+            }
+            // The decoder takes an empty size line for the last chunk.
+            if !self.input[0].is_ascii_hexdigit() {
+                return Err(fault::Fault::Malformed("chunk size"));
+            }
+            match self.chunk(&mut decoder, max_body - body.len()).await? {
+                Some(chunk) if chunk.len() > max_body - body.len() => {
+                    return Err(fault::Fault::BodyTooLarge);
+                }
+                Some(chunk) => body.extend_from_slice(&chunk),
+                None => return Ok(body.freeze()),
+            }
+        }
+    }
+
+    async fn chunk(
+        &mut self,
+        decoder: &mut decoder::ChunkedBodyDecoder,
+        max_bytes: usize,
+    ) -> Result<Option<Bytes>, fault::Fault> {
+        loop {
+            match decoder.decode(&mut self.input) {
+                Ok(Decoded::Some(chunk)) => return Ok(chunk),
+                Ok(_) if self.input.len() > max_bytes + READ_BYTES => {
+                    return Err(fault::Fault::BodyTooLarge);
+                }
+                Ok(_) => self.fill_body().await?,
+                Err(_) => return Err(fault::Fault::Malformed("chunk")),
+            }
+        }
+    }
+
+    async fn fill_body(&mut self) -> Result<(), fault::Fault> {
+        self.fill().await.map_err(|_| fault::Fault::Truncated)
+    }
+
+    /// Reads some bytes behind those in the buffer.
+    async fn fill(&mut self) -> Result<(), fault::Fault> {
+        let mut input = std::mem::take(&mut self.input);
+        input.reserve(READ_BYTES);
+        let start = input.len();
+        let end = input.capacity();
+        let (read, slice) = self.stream.read(input.slice_mut(start..end)).await;
+        self.input = slice.into_inner();
+        match read {
+            Ok(0) | Err(_) => Err(fault::Fault::Closed),
+            Ok(_) => Ok(()),
+        }
+    }
+
+    async fn write(&mut self, bytes: Bytes) -> Result<(), fault::Fault> {
+        self.stream.write_all(bytes).await.0?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/wire/src/http/fields.rs
@@ -0,0 +1,83 @@
+//! Headers that must not be passed on.
+
+use http::header::{self, HeaderName};
+use http::{HeaderMap, HeaderValue};
+
+use crate::header as names;
+
+/// Headers of one connection, RFC 9110 section 7.6.1.
+const HOP_BY_HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    HeaderName::from_static("keep-alive"),
+];
+
+/// Removes the headers that concern one connection only, those that
+/// `connection` names, and the length, which the encoder writes anew.
+pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    if headers.contains_key(header::CONNECTION) {
+        for name in named_by_connection(headers) {
+            headers.remove(name);
+        }
+    }
+    for name in &HOP_BY_HOP {
+        headers.remove(name);
+    }
+    headers.remove("proxy-connection");
+    headers.remove(header::CONTENT_LENGTH);
+    headers.remove(header::EXPECT);
+}
+
+/// Removes every header with masticarch's prefix.
+pub fn strip_internal(headers: &mut HeaderMap) {
+    let found: Vec<HeaderName> = headers
+        .keys()
+        .filter(|name| name.as_str().starts_with(names::PREFIX))
+        .cloned()
+        .collect();
+    for name in found {
+        headers.remove(name);
+    }
+}
+
+/// The text of a header, if it is there and is text.
+#[must_use]
+pub fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// The number in a header, if it is there and is one.
+#[must_use]
+pub fn number<T: std::str::FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
+    text(headers, name)?.parse().ok()
+}
+
+/// Sets a header to a text; a text that no header may hold is left out.
+pub fn set(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(HeaderName::from_static(name), value);
+    }
+}
+
+/// Sets a header to a number.
+pub fn set_number(headers: &mut HeaderMap, name: &'static str, value: impl Into<u64>) {
+    headers.insert(
+        HeaderName::from_static(name),
+        HeaderValue::from(value.into()),
+    );
+}
+
+fn named_by_connection(headers: &HeaderMap) -> Vec<HeaderName> {
+    headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect()
+}
--- /dev/null
+++ b/crates/wire/src/http/request.rs
@@ -0,0 +1,81 @@
+//! Requests with their whole body.
+
+use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, Method, Uri, Version, header};
+
+/// A request with its whole body.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Method.
+    pub method: Method,
+    /// Target of the request.
+    pub uri: Uri,
+    /// Headers; the encoder writes the length itself.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+    /// Whether the sender keeps the connection open after the answer.
+    pub keep_alive: bool,
+}
+
+impl Request {
+    /// A request without headers.
+    #[must_use]
+    pub fn new(method: Method, uri: Uri, body: Bytes) -> Self {
+        Self {
+            method,
+            uri,
+            headers: HeaderMap::new(),
+            body,
+            keep_alive: true,
+        }
+    }
+
+    /// The path and query as sent, `/` when there is none.
+    #[must_use]
+    pub fn path_and_query(&self) -> &str {
+        self.uri.path_and_query().map_or("/", |path| path.as_str())
+    }
+
+    /// Appends the encoded request.
+    pub fn encode(&self, output: &mut BytesMut) {
+        output.extend_from_slice(self.method.as_str().as_bytes());
+        output.extend_from_slice(b" ");
+        output.extend_from_slice(self.path_and_query().as_bytes());
+        output.extend_from_slice(b" HTTP/1.1\r\n");
+        encode_headers(&self.headers, output);
+        let silent = self.body.is_empty() && matches!(self.method, Method::GET | Method::HEAD);
+        if !silent {
+            encode_length(self.body.len(), output);
+        }
+        output.extend_from_slice(b"\r\n");
+        output.extend_from_slice(&self.body);
+    }
+}
+
+/// Whether a message allows further messages on its connection.
+#[must_use]
+pub fn keeps_alive(version: Version, headers: &HeaderMap) -> bool {
+    let closing = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .any(|option| option.trim().eq_ignore_ascii_case("close"));
+    version == Version::HTTP_11 && !closing
+}
+
+pub(super) fn encode_headers(headers: &HeaderMap, output: &mut BytesMut) {
+    for (name, value) in headers {
+        output.extend_from_slice(name.as_str().as_bytes());
+        output.extend_from_slice(b": ");
+        output.extend_from_slice(value.as_bytes());
+        output.extend_from_slice(b"\r\n");
+    }
+}
+
+pub(super) fn encode_length(length: usize, output: &mut BytesMut) {
+    use std::fmt::Write;
+    // Writing to a buffer in memory cannot fail.
+    let _ = write!(output, "content-length: {length}\r\n");
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod generated;
 pub mod handshake;
 pub mod header;
+pub mod http;
 pub mod message;
 pub mod rpc;
 
