--- /dev/null
+++ b/crates/node/src/admin/handler.rs
@@ -0,0 +1,129 @@
+//! Answers requests on the admin port.
+
+use std::time::Duration;
+
+use http::{HeaderValue, Method, StatusCode, header};
+use masticarch_model::{code, name};
+use masticarch_wire::http::{answer, fault, request};
+
+use super::status;
+use crate::caller::encode;
+use crate::sync::message as sync;
+use crate::target::{announcement, message as target};
+use crate::{refusal, services, session};
+
+/// A node whose copy is older than this is not ready: it refuses keyed
+/// requests.
+const CURRENT_LIMIT: Duration = Duration::from_secs(5);
+
+/// Answers the requests on one connection.
+pub struct Handler {
+    services: services::Services,
+}
+
+impl Handler {
+    /// A handler for one connection.
+    #[must_use]
+    pub const fn new(services: services::Services) -> Self {
+        Self { services }
+    }
+
+    async fn route(&self, request: &request::Request) -> answer::Answer {
+        let path = request.uri.path();
+        if let Some(service) = path.strip_prefix("/targets/") {
+            return self.target(service, request).await;
+        }
+        if request.method != Method::GET {
+            return plain(StatusCode::METHOD_NOT_ALLOWED, "only GET is allowed here");
+        }
+        match path {
+            "/metrics" => self.metrics().await,
+            "/health" => plain(StatusCode::OK, "ok"),
+            "/ready" => self.ready().await,
+            "/status" => self.status().await,
+            _ => plain(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+
+    async fn metrics(&self) -> answer::Answer {
+        let held = self.services.sync.ask(sync::Message::Status).await.ok();
+        let metrics = &self.services.metrics;
+        metrics.set_currency(held.and_then(|held| held.age));
+        metrics.set_in_flight(self.services.activity.count());
+        let mut answer = answer::Answer::new(StatusCode::OK, metrics.expose());
+        let kind = HeaderValue::from_static("text/plain; version=0.0.4");
+        answer.headers.insert(header::CONTENT_TYPE, kind);
+        answer
+    }
+
+    async fn ready(&self) -> answer::Answer {
+        let held = self.services.sync.ask(sync::Message::Status).await.ok();
+        let ready = held
+            .is_some_and(|held| !held.draining && held.age.is_some_and(|age| age < CURRENT_LIMIT));
+        if ready {
+            plain(StatusCode::OK, "ready")
+        } else {
+            plain(StatusCode::SERVICE_UNAVAILABLE, "not ready")
+        }
+    }
+
+    async fn status(&self) -> answer::Answer {
+        let text = status::Status::read(&self.services)
+            .await
+            .and_then(|status| serde_json::to_vec(&status).ok());
+        let Some(text) = text else {
+            return plain(StatusCode::SERVICE_UNAVAILABLE, "the node is stopping");
+        };
+        let mut answer = answer::Answer::new(StatusCode::OK, text);
+        let json = HeaderValue::from_static("application/json");
+        answer.headers.insert(header::CONTENT_TYPE, json);
+        answer
+    }
+
+    async fn target(&self, service: &str, request: &request::Request) -> answer::Answer {
+        let service = name::Name::new(service);
+        if !service.is_valid() {
+            return refused(code::Code::BadName, "the service has a bad name");
+        }
+        let message = match request.method {
+            Method::DELETE => target::Message::Retract(service),
+            Method::PUT => match serde_json::from_slice(&request.body) {
+                Ok(body) if announcement::Announcement::is_valid(&body) => {
+                    target::Message::Announce(service, body)
+                }
+                Ok(_) => {
+                    return refused(code::Code::OutOfRange, "slots and connections start at 1");
+                }
+                Err(error) => return refused(code::Code::BadRequest, &error.to_string()),
+            },
+            _ => return plain(StatusCode::METHOD_NOT_ALLOWED, "PUT or DELETE"),
+        };
+        match self.services.target.send(message).await {
+            Ok(()) => answer::Answer::new(StatusCode::NO_CONTENT, ""),
+            Err(_) => refused(code::Code::Draining, "the node is stopping"),
+        }
+    }
+}
+
+impl session::Handler for Handler {
+    async fn answer(&mut self, request: request::Request) -> answer::Answer {
+        self.route(&request).await
+    }
+
+    fn refuse(&mut self, fault: &fault::Fault) -> answer::Answer {
+        refused(fault.request_code(), &fault.to_string())
+    }
+}
+
+fn plain(status: StatusCode, text: &'static str) -> answer::Answer {
+    answer::Answer::new(status, text)
+}
+
+/// A refusal; codes of operators' objects have no HTTP status of their own.
+fn refused(code: code::Code, detail: &str) -> answer::Answer {
+    let mut answer = encode::refusal(&refusal::Refusal::new(code, detail), "");
+    if matches!(code, code::Code::BadName | code::Code::OutOfRange) {
+        answer.status = StatusCode::BAD_REQUEST;
+    }
+    answer
+}
--- /dev/null
+++ b/crates/node/src/admin/status.rs
@@ -0,0 +1,84 @@
+//! The state of a node as JSON.
+
+use serde::Serialize;
+
+use crate::admission::message as admission;
+use crate::sync::message as sync;
+use crate::{admission as decisions, services};
+
+/// The state of a node.
+#[derive(Clone, Debug, Serialize)]
+pub struct Status {
+    /// Name of the node.
+    pub node: String,
+    /// Run of the process.
+    pub incarnation: String,
+    /// Version of the state that is held.
+    pub version: u64,
+    /// Version of the configuration.
+    pub configuration_version: u64,
+    /// Milliseconds since the held state was known to be current.
+    pub current_ms: Option<u128>,
+    /// Whether the node is leaving.
+    pub draining: bool,
+    /// Requests in flight.
+    pub in_flight: usize,
+    /// Targets beside the node.
+    pub targets: Vec<Target>,
+}
+
+/// One target beside the node.
+#[derive(Clone, Debug, Serialize)]
+pub struct Target {
+    /// Its service.
+    pub service: String,
+    /// Announced slots.
+    pub slots: u32,
+    /// Announced connections.
+    pub connections: u32,
+    /// Present admission limit.
+    pub limit: u32,
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// Lowest priority rank that is admitted.
+    pub overload: u8,
+}
+
+impl Status {
+    /// Reads the state from the services; `None` while the node stops.
+    pub async fn read(services: &services::Services) -> Option<Self> {
+        let held = services.sync.ask(sync::Message::Status).await.ok()?;
+        let targets = services
+            .admission
+            .ask(admission::Message::Status)
+            .await
+            .ok()?;
+        Some(Self {
+            node: services.options.name.to_string(),
+            incarnation: services.incarnation.to_string(),
+            version: held.version.0,
+            configuration_version: held.configuration_version.0,
+            current_ms: held.age.map(|age| age.as_millis()),
+            draining: held.draining,
+            in_flight: services.activity.count(),
+            targets: targets.into_iter().map(target).collect(),
+        })
+    }
+}
+
+fn target(
+    entry: (
+        masticarch_model::target::Target,
+        decisions::summary::Summary,
+    ),
+) -> Target {
+    let (target, summary) = entry;
+    Target {
+        service: target.service.to_string(),
+        slots: target.slots,
+        connections: target.connections,
+        limit: summary.limit,
+        in_flight: summary.in_flight,
+        overload: summary.overload,
+    }
+}
--- a/crates/node/src/admission/mod.rs
+++ b/crates/node/src/admission/mod.rs
@@ -5,4 +5,5 @@
 pub mod key;
 pub mod message;
 pub mod permit;
+pub mod service;
 pub mod summary;
--- /dev/null
+++ b/crates/node/src/caller/attempt.rs
@@ -0,0 +1,75 @@
+//! One attempt at a request, at a local target or through another node.
+
+use std::time::{Duration, Instant};
+
+use masticarch_model::{code, ran};
+use masticarch_wire::http::request;
+
+use crate::admission::{entry, summary};
+use crate::gate::{admission, choice, report};
+use crate::peer::exchange;
+use crate::target::{job, run};
+use crate::{refusal, services};
+
+/// Time kept for the way back, so that the target's node notices the deadline
+/// before the entry node gives up on it.
+const MARGIN: Duration = Duration::from_millis(50);
+
+/// Makes one attempt.
+pub async fn make(
+    services: &services::Services,
+    admission: &admission::Admission,
+    choice: &choice::Choice,
+    request: &request::Request,
+) -> job::Outcome {
+    let limit = Instant::now() + choice.timeout;
+    let job = job::Job {
+        entry: entry::Entry {
+            service: admission.service.clone(),
+            root: admission.root.clone(),
+            team: admission.team.clone(),
+            weight: admission.weight,
+            rank: admission.rank,
+            deadline: admission.deadline.min(limit),
+            credit: choice.credit,
+            repeat: choice.repeat,
+        },
+        request: request.clone(),
+    };
+    let Some(address) = choice.peer else {
+        return run::run(services, job).await;
+    };
+    let limit = monoio::time::Instant::from_std(job.entry.deadline + MARGIN);
+    let exchange = exchange::run(services, address, admission, job);
+    monoio::time::timeout_at(limit, exchange)
+        .await
+        .unwrap_or_else(|_| job::Outcome::refused(late()))
+}
+
+/// The report of an attempt for the gate.
+#[must_use]
+pub fn report(outcome: &job::Outcome, latency: Duration) -> report::Report {
+    let summary: Option<summary::Summary> = outcome.summary;
+    let refusal = outcome.result.as_ref().err();
+    report::Report {
+        failure: refusal.map(|refusal| refusal.code),
+        status: outcome
+            .result
+            .as_ref()
+            .ok()
+            .map(|answer| answer.status.as_u16()),
+        ran: refusal.map_or(ran::Ran::Yes, |refusal| refusal.ran),
+        latency,
+        credit: summary.map_or(0, |summary| summary.credit),
+        executions: summary.and_then(|summary| summary.executions),
+        overload: summary.map(|summary| summary.overload),
+        limit: summary.map(|summary| (summary.limit, summary.in_flight)),
+    }
+}
+
+fn late() -> refusal::Refusal {
+    refusal::Refusal::new(
+        code::Code::TargetTimeout,
+        "the target's node did not answer before the deadline",
+    )
+}
--- /dev/null
+++ b/crates/node/src/caller/handler.rs
@@ -0,0 +1,231 @@
+//! Takes the requests of one connection through the fleet.
+
+use std::time::Instant;
+
+use futures::future::{self, Either};
+use masticarch_model::{attempt as model, code};
+use masticarch_wire::header;
+use masticarch_wire::http::{answer, fault, fields, request};
+
+use super::{attempt, claim, encode, flight, intake, ledger};
+use crate::gate::{admission, choice, message};
+use crate::target::job;
+use crate::{origin, race, refusal, services, session};
+
+/// Id in refusals of requests that have none.
+const NO_ID: &str = "";
+
+/// Takes the requests of one connection through the fleet.
+pub struct Handler {
+    services: services::Services,
+    connection: u32,
+    requests: u32,
+}
+
+/// A refusal with the id of its request.
+struct Refused {
+    refusal: refusal::Refusal,
+    id: Box<str>,
+}
+
+impl Handler {
+    /// A handler for the connection with this number.
+    #[must_use]
+    pub const fn new(services: services::Services, connection: u32) -> Self {
+        Self {
+            services,
+            connection,
+            requests: 0,
+        }
+    }
+
+    async fn begin(&mut self, mut request: request::Request) -> Result<answer::Answer, Refused> {
+        let id = fields::text(&request.headers, header::REQUEST_ID).unwrap_or(NO_ID);
+        let id: Box<str> = id.into();
+        let known = |refusal| Refused { refusal, id };
+        let services = self.services.clone();
+        let intake = match intake::read(&services, &mut request).await {
+            Ok(intake) => intake,
+            Err(refusal) => return Err(known(refusal)),
+        };
+        let loan = match &intake.request.origin {
+            origin::Origin::SubCall(loan) => Some(loan.clone()),
+            origin::Origin::Caller(_) => None,
+        };
+        let asked = Box::new(intake.request);
+        let begin = |slot| message::Message::Begin(asked, slot);
+        let admission = match services.gate.ask(begin).await {
+            Ok(Ok(admission)) => admission,
+            Ok(Err(refusal)) => return Err(known(refusal)),
+            Err(_) => return Err(known(draining())),
+        };
+        let parent = loan.as_ref().map(|loan| loan.parent);
+        let flight = flight::Flight::new(services, admission.request, parent);
+        let root = admission.root.clone();
+        let run = self.run(flight, admission, request, intake.idempotency_key);
+        match race::race(run, ended(loan)).await {
+            Either::Left(result) => result.map_err(|refusal| Refused { refusal, id: root }),
+            Either::Right(()) => Err(Refused {
+                refusal: parent_ended(),
+                id: root,
+            }),
+        }
+    }
+
+    async fn run(
+        &mut self,
+        mut flight: flight::Flight,
+        mut admission: admission::Admission,
+        request: request::Request,
+        key: Option<Box<str>>,
+    ) -> Result<answer::Answer, refusal::Refusal> {
+        if admission.recognised {
+            self.enter(&mut flight, &mut admission).await?;
+        }
+        let mut hold = None;
+        if !admission.idempotent {
+            let key = key.unwrap_or_else(|| admission.root.clone());
+            match claim::claim(&self.services, &admission, key, &request).await? {
+                claim::Claimed::Run(claimed) => hold = Some(claimed),
+                claim::Claimed::Kept(kept) => return Ok(encode::kept(&kept, &admission.root)),
+            }
+        }
+        self.attempts(flight, &admission, hold, &request).await
+    }
+
+    /// Enters a request with a caller's id in the ledger of its home node.
+    async fn enter(
+        &mut self,
+        flight: &mut flight::Flight,
+        admission: &mut admission::Admission,
+    ) -> Result<(), refusal::Refusal> {
+        let services = &self.services;
+        let team = admission.team.as_deref().unwrap_or_default();
+        let id = format!("{team}/{}", admission.root).into_boxed_str();
+        let attempt = model::Attempt {
+            node: services.incarnation,
+            sequence: u64::from(self.connection) << 32 | u64::from(self.requests),
+        };
+        let entry = ledger::Entry::find(services, id, attempt).await?;
+        flight.entered(entry.clone());
+        let credit = admission.choice.credit;
+        let allowed = entry.begin(services, credit, admission.deadline).await?;
+        let ask = |slot| {
+            message::Message::Credit(admission.request, allowed.credit, allowed.repeat, slot)
+        };
+        match services.gate.ask(ask).await {
+            Ok(Some(choice)) => admission.choice = choice,
+            Ok(None) => return Err(no_credit()),
+            Err(_) => return Err(draining()),
+        }
+        Ok(())
+    }
+
+    /// Makes attempts until one succeeds or the gate allows no other.
+    async fn attempts(
+        &self,
+        mut flight: flight::Flight,
+        admission: &admission::Admission,
+        mut hold: Option<claim::Hold>,
+        request: &request::Request,
+    ) -> Result<answer::Answer, refusal::Refusal> {
+        let services = &self.services;
+        let mut choice = admission.choice.clone();
+        loop {
+            flight.attempting();
+            if let Some(hold) = &mut hold {
+                hold.sending();
+            }
+            let begun = Instant::now();
+            let outcome = attempt::make(services, admission, &choice, request).await;
+            let report = attempt::report(&outcome, begun.elapsed());
+            if outcome.result.is_ok() {
+                settle(hold, &outcome);
+                flight.end(Some(report));
+                return outcome.result.map(|answer| complete(answer, admission));
+            }
+            // The gate has the report of this attempt from here on.
+            flight.reported();
+            let Some(next) = self.next(admission, &outcome, report).await else {
+                settle(hold, &outcome);
+                flight.end(None);
+                return outcome.result;
+            };
+            choice = next;
+        }
+    }
+
+    async fn next(
+        &self,
+        admission: &admission::Admission,
+        outcome: &job::Outcome,
+        report: crate::gate::report::Report,
+    ) -> Option<choice::Choice> {
+        let refusal = outcome.result.as_ref().err()?;
+        let ask = |slot| message::Message::Next(admission.request, report, slot);
+        let choice = self.services.gate.ask(ask).await.ok().flatten()?;
+        self.services.metrics.retried(refusal.code);
+        Some(choice)
+    }
+}
+
+impl session::Handler for Handler {
+    async fn answer(&mut self, request: request::Request) -> answer::Answer {
+        let _guard = self.services.activity.enter();
+        self.requests = self.requests.wrapping_add(1);
+        match self.begin(request).await {
+            Ok(answer) => {
+                self.services.metrics.answered(answer.status.as_u16());
+                answer
+            }
+            Err(refused) => {
+                self.services.metrics.refused(refused.refusal.code);
+                encode::refusal(&refused.refusal, &refused.id)
+            }
+        }
+    }
+
+    fn refuse(&mut self, fault: &fault::Fault) -> answer::Answer {
+        let code = fault.request_code();
+        self.services.metrics.refused(code);
+        encode::refusal(&refusal::Refusal::new(code, fault.to_string()), NO_ID)
+    }
+}
+
+fn settle(hold: Option<claim::Hold>, outcome: &job::Outcome) {
+    if let Some(hold) = hold {
+        hold.settle(&outcome.result);
+    }
+}
+
+fn complete(mut answer: answer::Answer, admission: &admission::Admission) -> answer::Answer {
+    fields::set(&mut answer.headers, header::REQUEST_ID, &admission.root);
+    answer.keep_alive = true;
+    answer
+}
+
+/// Waits until the parent of a sub-call has ended; for ever when there is none.
+async fn ended(loan: Option<origin::Loan>) {
+    match loan {
+        Some(loan) => loan.ended.wait().await,
+        None => future::pending().await,
+    }
+}
+
+fn draining() -> refusal::Refusal {
+    refusal::Refusal::new(code::Code::Draining, "the node is shutting down")
+}
+
+fn no_credit() -> refusal::Refusal {
+    refusal::Refusal::new(
+        code::Code::RetryBudget,
+        "the request id has no retry credit left",
+    )
+}
+
+fn parent_ended() -> refusal::Refusal {
+    refusal::Refusal::new(
+        code::Code::OutcomeUnknown,
+        "the call that this request belongs to has ended",
+    )
+}
--- /dev/null
+++ b/crates/node/src/caller/ledger.rs
@@ -0,0 +1,129 @@
+//! Asks the home node of a request id, here or elsewhere.
+
+use std::time::{Duration, Instant};
+
+use masticarch_kernel::reply;
+use masticarch_model::{attempt, code};
+use masticarch_wire::message::ledger as wire;
+
+use crate::ledger::message;
+use crate::peer::exchange;
+use crate::sync::{home, message as sync};
+use crate::{refusal, services};
+
+/// Longest wait for the home node.
+pub const TIMEOUT: Duration = Duration::from_millis(250);
+
+/// An attempt that is entered in the ledger of its home node.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// Team and request id.
+    pub id: Box<str>,
+    /// The attempt.
+    pub attempt: attempt::Attempt,
+    home: home::Home,
+}
+
+impl Entry {
+    /// Finds the home of an id.
+    ///
+    /// # Errors
+    /// A refusal when no node is known.
+    pub async fn find(
+        services: &services::Services,
+        id: Box<str>,
+        attempt: attempt::Attempt,
+    ) -> Result<Self, refusal::Refusal> {
+        let ask = |slot| sync::Message::Home(id.clone(), slot);
+        let home = services.sync.ask(ask).await.ok().flatten();
+        let home = home.ok_or_else(unavailable)?;
+        Ok(Self { id, attempt, home })
+    }
+
+    /// Enters the attempt.
+    ///
+    /// # Errors
+    /// The ledger's refusal, or one when it does not answer in time.
+    pub async fn begin(
+        &self,
+        services: &services::Services,
+        credit: u8,
+        deadline: Instant,
+    ) -> Result<message::Allowance, refusal::Refusal> {
+        let begin = async {
+            match self.home {
+                home::Home::Here => self.begin_here(services, credit, deadline).await,
+                home::Home::There(address) => {
+                    let remaining = deadline.saturating_duration_since(Instant::now());
+                    let request = wire::Request::Begin {
+                        id: self.id.clone(),
+                        attempt: self.attempt,
+                        credit,
+                        remaining_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX),
+                    };
+                    allowance(exchange::ledger(services, address, &request).await)
+                }
+            }
+        };
+        monoio::time::timeout(TIMEOUT, begin)
+            .await
+            .unwrap_or_else(|_| Err(unavailable()))
+    }
+
+    /// Ends the attempt. A lost message costs the id its credit, not more.
+    pub async fn end(&self, services: &services::Services, credit: u8, executions: Option<u32>) {
+        match self.home {
+            home::Home::Here => {
+                let end = message::Message::End {
+                    id: self.id.clone(),
+                    attempt: self.attempt,
+                    credit,
+                    executions,
+                };
+                let _ = services.ledger.send(end).await;
+            }
+            home::Home::There(address) => {
+                let request = wire::Request::End {
+                    id: self.id.clone(),
+                    attempt: self.attempt,
+                    credit,
+                    executions,
+                };
+                let told = exchange::ledger(services, address, &request);
+                let _ = monoio::time::timeout(TIMEOUT, told).await;
+            }
+        }
+    }
+
+    async fn begin_here(
+        &self,
+        services: &services::Services,
+        credit: u8,
+        deadline: Instant,
+    ) -> Result<message::Allowance, refusal::Refusal> {
+        let begin = |reply: reply::Reply<_>| message::Message::Begin {
+            id: self.id.clone(),
+            attempt: self.attempt,
+            credit,
+            deadline,
+            reply,
+        };
+        let answer = services.ledger.ask(begin).await;
+        answer.unwrap_or_else(|_| Err(unavailable()))
+    }
+}
+
+fn allowance(reply: Option<wire::Reply>) -> Result<message::Allowance, refusal::Refusal> {
+    match reply {
+        Some(wire::Reply::Allowed(credit, repeat)) => Ok(message::Allowance { credit, repeat }),
+        Some(wire::Reply::Refused(code, detail)) => Err(refusal::Refusal::new(code, detail)),
+        Some(wire::Reply::Noted) | None => Err(unavailable()),
+    }
+}
+
+fn unavailable() -> refusal::Refusal {
+    refusal::Refusal::new(
+        code::Code::LedgerUnavailable,
+        "the home node of the request id does not answer",
+    )
+}
--- /dev/null
+++ b/crates/node/src/caller/mod.rs
@@ -0,0 +1,10 @@
+//! Accepts callers and takes their requests through the fleet.
+
+pub mod attempt;
+pub mod claim;
+pub mod encode;
+pub mod flight;
+pub mod handler;
+pub mod intake;
+pub mod ledger;
+pub mod service;
--- a/crates/node/src/claims/message.rs
+++ b/crates/node/src/claims/message.rs
@@ -5,6 +5,8 @@
 use masticarch_kernel::reply;
 use masticarch_model::{attempt, claim, settlement};
 
+use crate::leader;
+
 /// What became of a claim.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -18,10 +20,11 @@
 }
 
 /// Messages to the claims service.
-#[derive(Debug)]
 pub enum Message {
     /// Claims a request, with its digest, until the deadline.
     Claim(claim::Subject, [u8; 32], Instant, reply::Reply<Verdict>),
     /// Settles a claim; repeated in the background until committed.
     Settle(claim::Subject, attempt::Attempt, settlement::Settlement),
+    /// A connection to the control leader is free again.
+    Idle(Box<leader::Leader>),
 }
--- a/crates/node/src/claims/mod.rs
+++ b/crates/node/src/claims/mod.rs
@@ -1,3 +1,5 @@
 //! Claims non-idempotent requests at the control leader.
 
 pub mod message;
+pub mod service;
+pub mod worker;
--- a/crates/node/src/gate/admission.rs
+++ b/crates/node/src/gate/admission.rs
@@ -21,6 +21,8 @@
     pub route: name::Name,
     /// Service.
     pub service: name::Name,
+    /// Weight of the team within its priority.
+    pub weight: u16,
     /// Rank of the priority: 0 is the highest.
     pub rank: u8,
     /// When the request's time is over.
--- a/crates/node/src/gate/mod.rs
+++ b/crates/node/src/gate/mod.rs
@@ -7,3 +7,4 @@
 pub mod message;
 pub mod report;
 pub mod request;
+pub mod service;
--- /dev/null
+++ b/crates/node/src/leader.rs
@@ -0,0 +1,171 @@
+//! Calls to the control leader, whichever process it is.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use capnp::capability;
+use masticarch_wire::masticarch_capnp::member;
+use masticarch_wire::{error, handshake, message, rpc};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Longest time for a call, on top of the time that the leader may hold it.
+pub const TIMEOUT: Duration = Duration::from_millis(1500);
+/// Redirects that one call follows; more mean that an election is going on.
+const REDIRECTS: usize = 2;
+
+/// A request of a node with its kind of reply.
+pub trait Question: Serialize {
+    /// The reply.
+    type Reply: DeserializeOwned;
+
+    /// Sends the encoded question by its method.
+    fn send(
+        client: &member::Client,
+        payload: &[u8],
+    ) -> impl Future<Output = Result<Vec<u8>, capnp::Error>>;
+
+    /// The address of the leader, if known, when the reply is that the process
+    /// does not lead.
+    fn redirect(reply: &Self::Reply) -> Option<Option<SocketAddr>>;
+}
+
+/// A connection to the control process that led last.
+pub struct Leader {
+    addresses: Vec<SocketAddr>,
+    position: usize,
+    hint: Option<SocketAddr>,
+    credential: handshake::Credential,
+    client: Option<member::Client>,
+}
+
+impl Leader {
+    /// Starts with the first of the member ports.
+    #[must_use]
+    pub fn new(addresses: Vec<SocketAddr>, credential: handshake::Credential) -> Self {
+        Self {
+            addresses,
+            position: 0,
+            hint: None,
+            credential,
+            client: None,
+        }
+    }
+
+    /// Asks the leader; a reply may be held for `hold`. The connection is given
+    /// up after any error, so that no late reply is taken for a newer one.
+    ///
+    /// # Errors
+    /// [`error::Error::Timeout`] when no leader replied in time, and the errors
+    /// of the connection.
+    pub async fn ask<Q: Question>(
+        &mut self,
+        question: &Q,
+        hold: Duration,
+    ) -> Result<Q::Reply, error::Error> {
+        let payload = message::encode(question);
+        for _ in 0..=REDIRECTS {
+            let call = self.call::<Q>(&payload);
+            let reply = monoio::time::timeout(hold + TIMEOUT, call)
+                .await
+                .map_err(|_| error::Error::Timeout)
+                .flatten();
+            match reply {
+                Err(error) => {
+                    self.leave(None);
+                    return Err(error);
+                }
+                Ok(reply) => match Q::redirect(&reply) {
+                    None => return Ok(reply),
+                    Some(hint) => self.leave(hint),
+                },
+            }
+        }
+        Err(error::Error::Timeout)
+    }
+
+    async fn call<Q: Question>(&mut self, payload: &[u8]) -> Result<Q::Reply, error::Error> {
+        let client = match self.client.clone() {
+            Some(client) => client,
+            None => self.connect().await?,
+        };
+        message::decode(&Q::send(&client, payload).await?)
+    }
+
+    async fn connect(&mut self) -> Result<member::Client, error::Error> {
+        let address = self
+            .hint
+            .or_else(|| self.addresses.get(self.position).copied())
+            .ok_or(error::Error::Timeout)?;
+        let role = handshake::Role::Member;
+        let client: member::Client = rpc::connect(address, role, &self.credential).await?;
+        self.client = Some(client.clone());
+        Ok(client)
+    }
+
+    /// Gives up the connection; without a hint the next address is tried.
+    fn leave(&mut self, hint: Option<SocketAddr>) {
+        self.client = None;
+        self.hint = hint;
+        if hint.is_none() && !self.addresses.is_empty() {
+            self.position = (self.position + 1) % self.addresses.len();
+        }
+    }
+}
+
+impl Question for message::sync::Request {
+    type Reply = message::sync::Reply;
+
+    async fn send(client: &member::Client, payload: &[u8]) -> Result<Vec<u8>, capnp::Error> {
+        let mut request = client.sync_request();
+        request.get().set_request(payload);
+        let response: capability::Response<member::sync_results::Owned> =
+            request.send().promise.await?;
+        Ok(response.get()?.get_reply()?.to_vec())
+    }
+
+    fn redirect(reply: &Self::Reply) -> Option<Option<SocketAddr>> {
+        match reply {
+            Self::Reply::NotLeader(hint) => Some(*hint),
+            _ => None,
+        }
+    }
+}
+
+impl Question for message::lease::Request {
+    type Reply = message::lease::Reply;
+
+    async fn send(client: &member::Client, payload: &[u8]) -> Result<Vec<u8>, capnp::Error> {
+        let mut request = client.lease_request();
+        request.get().set_request(payload);
+        let response: capability::Response<member::lease_results::Owned> =
+            request.send().promise.await?;
+        Ok(response.get()?.get_reply()?.to_vec())
+    }
+
+    fn redirect(reply: &Self::Reply) -> Option<Option<SocketAddr>> {
+        match reply {
+            Self::Reply::NotLeader(hint) => Some(*hint),
+            Self::Reply::Grants(_) => None,
+        }
+    }
+}
+
+impl Question for message::claim::Request {
+    type Reply = message::claim::Reply;
+
+    async fn send(client: &member::Client, payload: &[u8]) -> Result<Vec<u8>, capnp::Error> {
+        let mut request = client.claim_request();
+        request.get().set_request(payload);
+        let response: capability::Response<member::claim_results::Owned> =
+            request.send().promise.await?;
+        Ok(response.get()?.get_reply()?.to_vec())
+    }
+
+    fn redirect(reply: &Self::Reply) -> Option<Option<SocketAddr>> {
+        match reply {
+            Self::Reply::NotLeader(hint) => Some(*hint),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/lease/mod.rs
@@ -0,0 +1,3 @@
+//! Renews the node's shares of team limits.
+
+pub mod service;
--- /dev/null
+++ b/crates/node/src/links/message.rs
@@ -0,0 +1,34 @@
+//! Messages to the service that keeps connections to other nodes.
+
+use std::net::SocketAddr;
+
+use masticarch_kernel::{reply, stop};
+use masticarch_wire::http::connection;
+use monoio::net::TcpStream;
+
+/// A connection to another node.
+pub type Connection = connection::Connection<TcpStream>;
+
+/// What an attempt needs for one exchange with another node.
+#[derive(Debug)]
+pub struct Ticket {
+    /// An idle connection; when there is none the attempt opens one.
+    pub connection: Option<Connection>,
+    /// Number of the generation of connections to that node.
+    pub epoch: u64,
+    /// Resolves when the connections of this generation have gone silent.
+    pub silent: stop::Stop,
+}
+
+/// Messages to the service that keeps connections to other nodes.
+#[derive(Debug)]
+pub enum Message {
+    /// Takes a connection to a node.
+    Checkout(SocketAddr, reply::Reply<Ticket>),
+    /// Gives back a connection that is fit for another request.
+    Checkin(SocketAddr, u64, Connection),
+    /// A probe of this generation was answered.
+    Alive(SocketAddr, u64),
+    /// A probe of this generation was not answered.
+    Silent(SocketAddr, u64),
+}
--- /dev/null
+++ b/crates/node/src/links/probe.rs
@@ -0,0 +1,52 @@
+//! Watches one generation of connections to a node.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, StatusCode, Uri};
+use masticarch_kernel::address;
+use masticarch_wire::handshake;
+use masticarch_wire::http::request;
+
+use super::{message, open};
+
+/// Time between two probes.
+const INTERVAL: Duration = Duration::from_millis(500);
+/// Longest wait for the answer to a probe.
+const TIMEOUT: Duration = Duration::from_millis(400);
+/// Largest answer to a probe.
+const ANSWER_BYTES: usize = 1024;
+
+/// Probes a node on a connection of its own, which is as old as the generation
+/// it stands for, and reports the first probe that is not answered. Busy
+/// connections cannot be probed themselves: each carries one request at a time.
+pub async fn run(
+    peer: SocketAddr,
+    epoch: u64,
+    credential: handshake::Credential,
+    links: address::Address<message::Message>,
+) {
+    if let Ok(mut connection) = open::open(peer, &credential).await {
+        while probe(&mut connection).await {
+            if links
+                .send(message::Message::Alive(peer, epoch))
+                .await
+                .is_err()
+            {
+                return;
+            }
+            monoio::time::sleep(INTERVAL).await;
+        }
+    }
+    let _ = links.send(message::Message::Silent(peer, epoch)).await;
+}
+
+async fn probe(connection: &mut message::Connection) -> bool {
+    let ping = request::Request::new(Method::GET, Uri::from_static("/ping"), Bytes::new());
+    let exchange = connection.exchange(&ping, ANSWER_BYTES);
+    matches!(
+        monoio::time::timeout(TIMEOUT, exchange).await,
+        Ok(Ok(answer)) if answer.status == StatusCode::NO_CONTENT && answer.keep_alive
+    )
+}
--- /dev/null
+++ b/crates/node/src/listener.rs
@@ -0,0 +1,52 @@
+//! Accepts connections and gives each to a task of its own.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures::future::{self, Either};
+use masticarch_kernel::{name, stop, task};
+use monoio::net::{ListenerOpts, TcpListener, TcpStream};
+
+/// Pause after a failed accept, for example when no descriptor is left.
+const PAUSE: Duration = Duration::from_millis(50);
+/// Connections that wait to be accepted.
+const BACKLOG: i32 = 1024;
+
+/// Opens a listening port.
+///
+/// # Errors
+/// The error of the operating system.
+pub fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let options = ListenerOpts::new().reuse_port(false).backlog(BACKLOG);
+    TcpListener::bind_with_config(address, &options)
+}
+
+/// Accepts connections until asked to stop. `serve` makes the task of one
+/// connection from its number and stream; a panic ends only that task.
+pub async fn run<F>(
+    service: name::Name,
+    listener: TcpListener,
+    stop: stop::Stop,
+    mut serve: impl FnMut(u32, TcpStream) -> F,
+) where
+    F: Future<Output = ()> + 'static,
+{
+    let mut number = 0_u32;
+    let mut stopped = std::pin::pin!(stop.wait());
+    loop {
+        let accept = std::pin::pin!(listener.accept());
+        let stream = match future::select(stopped.as_mut(), accept).await {
+            Either::Left(_) => return,
+            Either::Right((Ok((stream, _)), _)) => stream,
+            Either::Right((Err(_), _)) => {
+                monoio::time::sleep(PAUSE).await;
+                continue;
+            }
+        };
+        if stream.set_nodelay(true).is_ok() {
+            number = number.wrapping_add(1);
+            drop(task::spawn(service, serve(number, stream)));
+        }
+    }
+}
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,7 +1,16 @@
 //! Prometheus metrics of a node.
 
-use masticarch_model::code;
-use prometheus::{IntCounterVec, Opts, Registry};
+use std::time::Duration;
+
+use masticarch_model::{code, version};
+use prometheus::{
+    Encoder, Gauge, Histogram, HistogramOpts, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
+};
+
+/// Upper bounds of the queue time histogram in seconds; the queue is bounded by
+/// 100 ms unless settings say otherwise.
+const QUEUE_BUCKETS: [f64; 8] = [0.0001, 0.0005, 0.001, 0.005, 0.01, 0.05, 0.1, 0.5];
 
 /// Metrics of a node; cheap to clone. Labels take values from fixed lists only,
 /// so that the number of series does not grow with teams, keys or callers.
@@ -10,6 +19,24 @@
     registry: Registry,
     refusals: IntCounterVec,
     retries: IntCounterVec,
+    answers: IntCounterVec,
+    connections: IntGaugeVec,
+    queue: Histogram,
+    version: IntGauge,
+    currency: Gauge,
+    in_flight: IntGauge,
+}
+
+/// Counts one open connection until it is dropped.
+#[derive(Debug)]
+pub struct Open {
+    gauge: IntGauge,
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.gauge.dec();
+    }
 }
 
 impl Metrics {
@@ -33,12 +60,51 @@
             ),
             &["reason"],
         )?;
+        let answers = IntCounterVec::new(
+            Opts::new(
+                "masticarch_answers_total",
+                "Whole answers of targets passed on to callers, by class of status",
+            ),
+            &["class"],
+        )?;
+        let connections = IntGaugeVec::new(
+            Opts::new(
+                "masticarch_connections",
+                "Accepted connections that are open, by port",
+            ),
+            &["port"],
+        )?;
+        let queue = Histogram::with_opts(
+            HistogramOpts::new(
+                "masticarch_queue_seconds",
+                "Time from asking admission to leave to run",
+            )
+            .buckets(QUEUE_BUCKETS.to_vec()),
+        )?;
+        let version = IntGauge::new("masticarch_version", "Version of the state that is held")?;
+        let currency = Gauge::new(
+            "masticarch_currency_seconds",
+            "Time since the held state was known to be current",
+        )?;
+        let in_flight = IntGauge::new("masticarch_in_flight", "Requests in flight")?;
         registry.register(Box::new(refusals.clone()))?;
         registry.register(Box::new(retries.clone()))?;
+        registry.register(Box::new(answers.clone()))?;
+        registry.register(Box::new(connections.clone()))?;
+        registry.register(Box::new(queue.clone()))?;
+        registry.register(Box::new(version.clone()))?;
+        registry.register(Box::new(currency.clone()))?;
+        registry.register(Box::new(in_flight.clone()))?;
         Ok(Self {
             registry,
             refusals,
             retries,
+            answers,
+            connections,
+            queue,
+            version,
+            currency,
+            in_flight,
         })
     }
 
@@ -57,4 +123,56 @@
     pub fn retried(&self, code: code::Code) {
         self.retries.with_label_values(&[code.reason()]).inc();
     }
+
+    /// Counts a whole answer passed on to a caller.
+    pub fn answered(&self, status: u16) {
+        let class = match status {
+            100..=199 => "1xx",
+            200..=299 => "2xx",
+            300..=399 => "3xx",
+            400..=499 => "4xx",
+            _ => "5xx",
+        };
+        self.answers.with_label_values(&[class]).inc();
+    }
+
+    /// Counts a connection on a port until the result is dropped.
+    #[must_use]
+    pub fn opened(&self, port: &'static str) -> Open {
+        let gauge = self.connections.with_label_values(&[port]);
+        gauge.inc();
+        Open { gauge }
+    }
+
+    /// Records the time that a request waited for admission.
+    pub fn queued(&self, time: Duration) {
+        self.queue.observe(time.as_secs_f64());
+    }
+
+    /// Sets the version of the state that is held.
+    pub fn hold(&self, version: version::Version) {
+        self.version
+            .set(i64::try_from(version.0).unwrap_or(i64::MAX));
+    }
+
+    /// Sets the time since the held state was known to be current; infinite
+    /// when it never was.
+    pub fn set_currency(&self, age: Option<Duration>) {
+        self.currency
+            .set(age.map_or(f64::INFINITY, |age| age.as_secs_f64()));
+    }
+
+    /// Sets the number of requests in flight.
+    pub fn set_in_flight(&self, count: usize) {
+        self.in_flight.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
+    /// All metrics in the text format of Prometheus.
+    #[must_use]
+    pub fn expose(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        // Encoding fails only for a metric without series, which is left out.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        text
+    }
 }
--- /dev/null
+++ b/crates/node/src/peer/exchange.rs
@@ -0,0 +1,109 @@
+//! Sends requests to other nodes.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use futures::future::Either;
+use http::{Method, Uri};
+use masticarch_model::{code, ran};
+use masticarch_wire::http::{answer, connection, request};
+use masticarch_wire::message;
+
+use super::headers;
+use crate::gate::admission;
+use crate::links::{message as links, open};
+use crate::target::job;
+use crate::{race, refusal, services};
+
+/// Largest answer of another node's ledger.
+const LEDGER_BYTES: usize = 4096;
+
+/// Runs a job through the node beside the target. Dropping the future closes
+/// the connection, which cancels the job there.
+pub async fn run(
+    services: &services::Services,
+    address: SocketAddr,
+    admission: &admission::Admission,
+    mut job: job::Job,
+) -> job::Outcome {
+    headers::write_entry(&mut job.request, &job.entry, &admission.route);
+    let max_body = services.options.max_answer_bytes;
+    match send(services, address, &job.request, max_body).await {
+        Ok(answer) => headers::read_outcome(answer),
+        Err(refusal) => job::Outcome::refused(refusal),
+    }
+}
+
+/// Asks the ledger of another node; `None` when it gives no answer.
+pub async fn ledger(
+    services: &services::Services,
+    address: SocketAddr,
+    question: &message::ledger::Request,
+) -> Option<message::ledger::Reply> {
+    let body = Bytes::from(message::encode(question));
+    let request = request::Request::new(Method::POST, Uri::from_static("/ledger"), body);
+    let answer = send(services, address, &request, LEDGER_BYTES).await.ok()?;
+    message::decode(&answer.body).ok()
+}
+
+/// Sends a request to another node on a pooled or a new connection.
+async fn send(
+    services: &services::Services,
+    address: SocketAddr,
+    request: &request::Request,
+    max_body: usize,
+) -> Result<answer::Answer, refusal::Refusal> {
+    let checkout = |slot| links::Message::Checkout(address, slot);
+    let Ok(ticket) = services.links.ask(checkout).await else {
+        return Err(refusal::Refusal::new(
+            code::Code::Draining,
+            "the node is shutting down",
+        ));
+    };
+    let mut connection = match ticket.connection {
+        Some(connection) => connection,
+        None => open::open(address, &services.options.credential)
+            .await
+            .map_err(|_| unreachable_node())?,
+    };
+    let exchange = connection.exchange(request, max_body);
+    let answer = match race::race(exchange, ticket.silent.wait()).await {
+        Either::Left(answer) => answer.map_err(|failure| failed(&failure))?,
+        Either::Right(()) => return Err(silent_node()),
+    };
+    if answer.keep_alive {
+        let checkin = links::Message::Checkin(address, ticket.epoch, connection);
+        let _ = services.links.send(checkin).await;
+    }
+    Ok(answer)
+}
+
+fn unreachable_node() -> refusal::Refusal {
+    refusal::Refusal {
+        ran: ran::Ran::No,
+        ..refusal::Refusal::new(
+            code::Code::TargetFailed,
+            "the target's node cannot be reached",
+        )
+    }
+}
+
+fn silent_node() -> refusal::Refusal {
+    refusal::Refusal::new(
+        code::Code::TargetFailed,
+        "the connections to the target's node have gone silent",
+    )
+}
+
+fn failed(failure: &connection::Failure) -> refusal::Refusal {
+    let code = failure.fault.answer_code();
+    let ran = if failure.sent {
+        code.ran()
+    } else {
+        ran::Ran::No
+    };
+    refusal::Refusal {
+        ran,
+        ..refusal::Refusal::new(code, failure.fault.to_string())
+    }
+}
--- /dev/null
+++ b/crates/node/src/peer/headers.rs
@@ -0,0 +1,100 @@
+//! Headers between nodes.
+
+use std::time::{Duration, Instant};
+
+use http::HeaderMap;
+use masticarch_model::{code, name, ran};
+use masticarch_wire::header as names;
+use masticarch_wire::http::{answer, fields, request};
+
+use crate::admission::{entry, summary};
+use crate::refusal;
+use crate::target::job;
+
+/// Adds what the target's node needs to a request.
+pub fn write_entry(request: &mut request::Request, entry: &entry::Entry, route: &name::Name) {
+    let headers = &mut request.headers;
+    let remaining = entry.deadline.saturating_duration_since(Instant::now());
+    let remaining_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
+    fields::set(headers, names::SERVICE, &entry.service);
+    fields::set(headers, names::ROUTE, route);
+    fields::set(headers, names::REQUEST_ID, &entry.root);
+    fields::set_number(headers, names::WEIGHT, entry.weight);
+    fields::set_number(headers, names::PRIORITY, entry.rank);
+    fields::set_number(headers, names::DEADLINE_MS, remaining_ms);
+    fields::set_number(headers, names::CREDIT, entry.credit);
+    fields::set_number(headers, names::REPEAT, u8::from(entry.repeat));
+    if let Some(team) = &entry.team {
+        fields::set(headers, names::TEAM, team);
+    }
+}
+
+/// Reads what another node sent; `None` when a part is missing.
+#[must_use]
+pub fn read_entry(headers: &HeaderMap) -> Option<entry::Entry> {
+    let remaining: u64 = fields::number(headers, names::DEADLINE_MS)?;
+    let remaining = Duration::from_millis(remaining);
+    Some(entry::Entry {
+        service: fields::text(headers, names::SERVICE)?.into(),
+        root: fields::text(headers, names::REQUEST_ID)?.into(),
+        team: fields::text(headers, names::TEAM).map(name::Name::new),
+        weight: fields::number(headers, names::WEIGHT)?,
+        rank: fields::number(headers, names::PRIORITY)?,
+        deadline: Instant::now().checked_add(remaining)?,
+        credit: fields::number(headers, names::CREDIT)?,
+        repeat: fields::text(headers, names::REPEAT)? == "1",
+    })
+}
+
+/// Adds the state of the target to an answer.
+pub fn write_summary(answer: &mut answer::Answer, summary: &summary::Summary) {
+    let headers = &mut answer.headers;
+    fields::set_number(headers, names::CREDIT, summary.credit);
+    fields::set_number(headers, names::OVERLOAD, summary.overload);
+    let limit = format!("{}/{}", summary.limit, summary.in_flight);
+    fields::set(headers, names::LIMIT, &limit);
+    if let Some(executions) = summary.executions {
+        fields::set_number(headers, names::EXECUTIONS, executions);
+    }
+}
+
+/// Reads the answer of another node: the target's answer, or a refusal.
+#[must_use]
+pub fn read_outcome(mut answer: answer::Answer) -> job::Outcome {
+    let summary = read_summary(&answer.headers);
+    let refusal = read_refusal(&answer);
+    fields::strip_hop_by_hop(&mut answer.headers);
+    fields::strip_internal(&mut answer.headers);
+    job::Outcome {
+        result: refusal.map_or(Ok(answer), Err),
+        summary,
+    }
+}
+
+fn read_summary(headers: &HeaderMap) -> Option<summary::Summary> {
+    let (limit, in_flight) = fields::text(headers, names::LIMIT)?.split_once('/')?;
+    Some(summary::Summary {
+        credit: fields::number(headers, names::CREDIT)?,
+        executions: fields::number(headers, names::EXECUTIONS),
+        overload: fields::number(headers, names::OVERLOAD)?,
+        limit: limit.parse().ok()?,
+        in_flight: in_flight.parse().ok()?,
+    })
+}
+
+fn read_refusal(answer: &answer::Answer) -> Option<refusal::Refusal> {
+    let number = fields::number(&answer.headers, names::CODE)?;
+    let code = code::Code::from_number(number).unwrap_or(code::Code::TargetFailed);
+    let ran = match fields::text(&answer.headers, names::RAN) {
+        Some("no") => ran::Ran::No,
+        Some("yes") => ran::Ran::Yes,
+        _ => ran::Ran::Unknown,
+    };
+    let detail = String::from_utf8_lossy(&answer.body).into_owned();
+    let retry_after = fields::number(&answer.headers, "retry-after").map(Duration::from_secs);
+    Some(refusal::Refusal {
+        ran,
+        retry_after,
+        ..refusal::Refusal::new(code, detail)
+    })
+}
--- /dev/null
+++ b/crates/node/src/peer/service.rs
@@ -0,0 +1,34 @@
+//! The listener for other nodes.
+
+use masticarch_kernel::stop;
+use masticarch_wire::handshake;
+use monoio::net::{TcpListener, TcpStream};
+
+use super::handler;
+use crate::{listener, name, services, session};
+
+/// Accepts other nodes until asked to stop; idle connections close then.
+pub async fn run(listener: TcpListener, services: services::Services, stop: stop::Stop) {
+    let ended = stop.clone();
+    listener::run(name::PEER, listener, stop, move |_, stream| {
+        let open = services.metrics.opened("peer");
+        let services = services.clone();
+        let ended = ended.clone();
+        async move {
+            serve(stream, services, ended).await;
+            drop(open);
+        }
+    })
+    .await;
+}
+
+/// Serves one connection after the other side has proved membership. Anything
+/// else on the port closes its connection without an answer.
+async fn serve(mut stream: TcpStream, services: services::Services, stop: stop::Stop) {
+    let credentials = std::slice::from_ref(&services.options.credential);
+    let accepted = handshake::accept(&mut stream, handshake::Role::Peer, credentials).await;
+    if accepted.is_ok() {
+        let max_body = services.options.max_request_bytes;
+        session::run(stream, handler::Handler::new(services), max_body, stop).await;
+    }
+}
--- /dev/null
+++ b/crates/node/src/race.rs
@@ -0,0 +1,16 @@
+//! Waits for the first of two futures.
+
+use std::future::Future;
+
+use futures::future::{self, Either};
+
+/// The output of the future that ends first; the other one is dropped before
+/// this returns. When both are ready the left one wins.
+pub async fn race<L: Future, R: Future>(left: L, right: R) -> Either<L::Output, R::Output> {
+    let left = std::pin::pin!(left);
+    let right = std::pin::pin!(right);
+    match future::select(left, right).await {
+        Either::Left((output, _)) => Either::Left(output),
+        Either::Right((output, _)) => Either::Right(output),
+    }
+}
--- /dev/null
+++ b/crates/node/src/role.rs
@@ -0,0 +1,157 @@
+//! Starts and stops the services of a node.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use masticarch_kernel::{kernel, mailbox, stop};
+use masticarch_model::incarnation;
+use monoio::net::TcpListener;
+
+use crate::{
+    admin, admission, caller, claims, error, gate, lease, ledger, links, listener, metrics, name,
+    options, peer, services, sync, target,
+};
+
+/// Messages that wait at a service that every request passes.
+const BUSY_CAPACITY: usize = 4096;
+/// Messages that wait at the other services.
+const CAPACITY: usize = 256;
+/// Time in which the announcement that the node leaves reaches the others.
+const ANNOUNCE: Duration = Duration::from_secs(1);
+/// Longest time for a service to stop once no request is in flight.
+const STOP_LIMIT: Duration = Duration::from_secs(5);
+
+struct Mailboxes {
+    gate: mailbox::Mailbox<gate::message::Message>,
+    admission: mailbox::Mailbox<admission::message::Message>,
+    ledger: mailbox::Mailbox<ledger::message::Message>,
+    claims: mailbox::Mailbox<claims::message::Message>,
+    links: mailbox::Mailbox<links::message::Message>,
+    target: mailbox::Mailbox<target::message::Message>,
+    sync: mailbox::Mailbox<sync::message::Message>,
+}
+
+struct Listeners {
+    caller: TcpListener,
+    peer: TcpListener,
+    admin: TcpListener,
+}
+
+/// Runs a node until asked to stop and no request is in flight, or until the
+/// drain limit.
+///
+/// # Errors
+/// [`error::Error`] when a port cannot be opened or a service not started.
+pub async fn run(options: options::Options, stop: stop::Stop) -> Result<(), error::Error> {
+    let options = Rc::new(options);
+    let listeners = Listeners::open(&options)?;
+    let mut kernel = kernel::Kernel::new();
+    let mailboxes = Mailboxes::register(&mut kernel)?;
+    let incarnation = incarnation::Incarnation(fastrand::u64(1..));
+    let metrics = metrics::Metrics::new()?;
+    let services = services::Services::new(kernel.registry(), options, incarnation, metrics)?;
+    start_state(&mut kernel, mailboxes, &services);
+    start_ports(&mut kernel, listeners, &services);
+    stop.wait().await;
+    drain(&services).await;
+    kernel.shutdown(STOP_LIMIT).await;
+    Ok(())
+}
+
+/// Refuses what is new, and waits for what is in flight. The ports stay open
+/// meanwhile, because running calls may still send sub-calls.
+async fn drain(services: &services::Services) {
+    let _ = services.sync.send(sync::message::Message::Drain).await;
+    let _ = services.gate.send(gate::message::Message::Drain).await;
+    monoio::time::sleep(ANNOUNCE).await;
+    let limit = services.options.drain_limit;
+    let settled = monoio::time::timeout(limit, services.activity.settle());
+    if settled.await.is_err() {
+        tracing::warn!("requests were still in flight at the drain limit");
+    }
+}
+
+/// Starts the services that own state.
+fn start_state(kernel: &mut kernel::Kernel, mailboxes: Mailboxes, services: &services::Services) {
+    let options = &services.options;
+    let metrics = &services.metrics;
+    let incarnation = services.incarnation;
+    kernel.start(name::GATE, |stop| {
+        gate::service::run(mailboxes.gate, options.clone(), metrics.clone(), stop)
+    });
+    kernel.start(name::ADMISSION, |stop| {
+        admission::service::run(mailboxes.admission, options.clone(), metrics.clone(), stop)
+    });
+    kernel.start(name::LEDGER, |stop| {
+        ledger::service::run(mailboxes.ledger, stop)
+    });
+    kernel.start(name::TARGET, |stop| {
+        target::service::run(mailboxes.target, services.admission.clone(), stop)
+    });
+    kernel.start(name::LINKS, |stop| {
+        links::service::run(
+            mailboxes.links,
+            services.links.clone(),
+            options.clone(),
+            stop,
+        )
+    });
+    kernel.start(name::CLAIMS, |stop| {
+        let own = services.claims.clone();
+        claims::service::run(mailboxes.claims, own, options.clone(), incarnation, stop)
+    });
+    kernel.start(name::SYNC, |stop| {
+        sync::service::run(mailboxes.sync, context(services), stop)
+    });
+    kernel.start(name::LEASE, |stop| {
+        lease::service::run(options.clone(), incarnation, services.gate.clone(), stop)
+    });
+}
+
+/// Starts the services that accept connections; they stop first.
+fn start_ports(kernel: &mut kernel::Kernel, listeners: Listeners, services: &services::Services) {
+    kernel.start(name::ADMIN, |stop| {
+        admin::service::run(listeners.admin, services.clone(), stop)
+    });
+    kernel.start(name::PEER, |stop| {
+        peer::service::run(listeners.peer, services.clone(), stop)
+    });
+    kernel.start(name::CALLER, |stop| {
+        caller::service::run(listeners.caller, services.clone(), stop)
+    });
+}
+
+fn context(services: &services::Services) -> sync::service::Context {
+    sync::service::Context {
+        options: services.options.clone(),
+        incarnation: services.incarnation,
+        metrics: services.metrics.clone(),
+        own: services.sync.clone(),
+        gate: services.gate.clone(),
+        target: services.target.clone(),
+    }
+}
+
+impl Mailboxes {
+    fn register(kernel: &mut kernel::Kernel) -> Result<Self, error::Error> {
+        Ok(Self {
+            gate: kernel.register(name::GATE, BUSY_CAPACITY)?,
+            admission: kernel.register(name::ADMISSION, BUSY_CAPACITY)?,
+            ledger: kernel.register(name::LEDGER, BUSY_CAPACITY)?,
+            claims: kernel.register(name::CLAIMS, BUSY_CAPACITY)?,
+            links: kernel.register(name::LINKS, BUSY_CAPACITY)?,
+            target: kernel.register(name::TARGET, BUSY_CAPACITY)?,
+            sync: kernel.register(name::SYNC, CAPACITY)?,
+        })
+    }
+}
+
+impl Listeners {
+    fn open(options: &options::Options) -> Result<Self, error::Error> {
+        Ok(Self {
+            caller: listener::bind(options.caller)?,
+            peer: listener::bind(options.peer)?,
+            admin: listener::bind(options.admin)?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/node/src/services.rs
@@ -0,0 +1,64 @@
+//! What the tasks of a node share: addresses of services and settings.
+
+use std::rc::Rc;
+
+use masticarch_kernel::{address, error, registry};
+use masticarch_model::incarnation;
+
+use crate::{
+    activity, admission, claims, gate, ledger, links, metrics, name, options, sync, target,
+};
+
+/// Addresses of the services that connection tasks use, and the settings.
+#[derive(Clone)]
+pub struct Services {
+    /// Settings.
+    pub options: Rc<options::Options>,
+    /// Run of this process.
+    pub incarnation: incarnation::Incarnation,
+    /// Metrics.
+    pub metrics: metrics::Metrics,
+    /// Requests in flight.
+    pub activity: activity::Activity,
+    /// Decisions at the entry.
+    pub gate: address::Address<gate::message::Message>,
+    /// Decisions beside the target.
+    pub admission: address::Address<admission::message::Message>,
+    /// Retry credit of request ids.
+    pub ledger: address::Address<ledger::message::Message>,
+    /// Claims.
+    pub claims: address::Address<claims::message::Message>,
+    /// Connections to other nodes.
+    pub links: address::Address<links::message::Message>,
+    /// Local targets.
+    pub target: address::Address<target::message::Message>,
+    /// Configuration and membership.
+    pub sync: address::Address<sync::message::Message>,
+}
+
+impl Services {
+    /// Looks up the services by name.
+    ///
+    /// # Errors
+    /// [`error::Error::Unknown`] when one is not registered.
+    pub fn new(
+        registry: &registry::Registry,
+        options: Rc<options::Options>,
+        incarnation: incarnation::Incarnation,
+        metrics: metrics::Metrics,
+    ) -> Result<Self, error::Error> {
+        Ok(Self {
+            options,
+            incarnation,
+            metrics,
+            activity: activity::Activity::default(),
+            gate: registry.lookup(name::GATE)?,
+            admission: registry.lookup(name::ADMISSION)?,
+            ledger: registry.lookup(name::LEDGER)?,
+            claims: registry.lookup(name::CLAIMS)?,
+            links: registry.lookup(name::LINKS)?,
+            target: registry.lookup(name::TARGET)?,
+            sync: registry.lookup(name::SYNC)?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/node/src/session.rs
@@ -0,0 +1,75 @@
+//! Serves the requests of one accepted connection in their order.
+
+use futures::future::Either;
+use http::Method;
+use masticarch_kernel::stop;
+use masticarch_wire::http::{answer, connection, fault, request};
+use monoio::net::TcpStream;
+
+use crate::race;
+
+/// Answers requests; one for each connection.
+pub trait Handler {
+    /// Answers a request. The future is dropped when the other side closes the
+    /// connection, which must cancel everything behind it.
+    fn answer(&mut self, request: request::Request) -> impl Future<Output = answer::Answer>;
+
+    /// Answers a message that could not be read; the connection closes then.
+    fn refuse(&mut self, fault: &fault::Fault) -> answer::Answer;
+}
+
+/// Serves a connection until it closes, a message is faulty, or, while it is
+/// idle, the service is asked to stop.
+pub async fn run<H: Handler>(stream: TcpStream, mut handler: H, max_body: usize, stop: stop::Stop) {
+    let mut connection = connection::Connection::new(stream);
+    loop {
+        if !matches!(
+            race::race(connection.ready(), stop.wait()).await,
+            Either::Left(true)
+        ) {
+            return;
+        }
+        let request = match connection.receive(max_body).await {
+            Ok(request) => request,
+            Err(fault::Fault::Closed) => return,
+            Err(fault) => {
+                let mut answer = handler.refuse(&fault);
+                answer.keep_alive = false;
+                return end(&mut connection, &answer).await;
+            }
+        };
+        // Boxed, so that an idle connection does not keep the space.
+        if !Box::pin(serve(&mut connection, &mut handler, request, &stop)).await {
+            return;
+        }
+    }
+}
+
+/// Serves one request; `false` when the connection is to be closed.
+async fn serve<H: Handler>(
+    connection: &mut connection::Connection<TcpStream>,
+    handler: &mut H,
+    request: request::Request,
+    stop: &stop::Stop,
+) -> bool {
+    let head_only = request.method == Method::HEAD;
+    let keep_alive = request.keep_alive;
+    let answering = handler.answer(request);
+    let Either::Left(mut answer) = race::race(answering, connection.closed()).await else {
+        return false;
+    };
+    answer.keep_alive &= keep_alive && !stop.is_set();
+    if connection.reply(&answer, head_only).await.is_err() {
+        return false;
+    }
+    if !answer.keep_alive {
+        connection.finish().await;
+    }
+    answer.keep_alive
+}
+
+async fn end(connection: &mut connection::Connection<TcpStream>, answer: &answer::Answer) {
+    if connection.reply(answer, false).await.is_ok() {
+        connection.finish().await;
+    }
+}
--- /dev/null
+++ b/crates/node/src/sync/message.rs
@@ -0,0 +1,37 @@
+//! Messages to the service that holds the node's copy of the published state.
+
+use std::time::{Duration, Instant};
+
+use masticarch_kernel::reply;
+use masticarch_model::version;
+use masticarch_wire::message::sync;
+
+use super::home;
+
+/// What operators see of the copy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Status {
+    /// Version held.
+    pub version: version::Version,
+    /// Version of the configuration.
+    pub configuration_version: version::Version,
+    /// Time since the copy was known to be current; `None` when it never was.
+    pub age: Option<Duration>,
+    /// Whether the node is leaving.
+    pub draining: bool,
+}
+
+/// Messages to the service that holds the node's copy of the published state.
+#[derive(Debug)]
+pub enum Message {
+    /// Makes the next request to the leader.
+    Prepare(reply::Reply<sync::Request>),
+    /// The leader's reply to a request that was sent at this moment.
+    Received(sync::Reply, Instant),
+    /// Finds the home node of a request id; `None` while no node is known.
+    Home(Box<str>, reply::Reply<Option<home::Home>>),
+    /// Announces the node's targets as draining from now on.
+    Drain,
+    /// Reads the state of the copy.
+    Status(reply::Reply<Status>),
+}
--- /dev/null
+++ b/crates/node/src/sync/poll.rs
@@ -0,0 +1,41 @@
+//! The long poll to the control leader.
+
+use std::time::{Duration, Instant};
+
+use masticarch_kernel::address;
+use masticarch_wire::message::sync;
+
+use super::message;
+use crate::leader;
+
+/// Pause after a failed call, so that an unreachable control group is not
+/// called in a tight loop.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Asks the leader for changes, one request at a time, until dropped.
+pub async fn run(mut leader: leader::Leader, sync: address::Address<message::Message>) {
+    while let Ok(request) = sync.ask(message::Message::Prepare).await {
+        let hold = Duration::from_millis(request.hold_ms.into());
+        let sent = Instant::now();
+        match leader.ask(&request, hold).await {
+            Ok(reply) => {
+                let received = message::Message::Received(reply, sent);
+                if sync.send(received).await.is_err() {
+                    return;
+                }
+            }
+            Err(_) => monoio::time::sleep(PAUSE).await,
+        }
+    }
+}
+
+/// Tells the leader that the node leaves; one try, since a silent node is
+/// removed anyhow.
+pub async fn leave(mut leader: leader::Leader, request: sync::Request) {
+    let request = sync::Request {
+        leaving: true,
+        hold_ms: 0,
+        ..request
+    };
+    let _ = leader.ask(&request, Duration::ZERO).await;
+}
--- /dev/null
+++ b/crates/node/src/sync/service.rs
@@ -0,0 +1,172 @@
+//! The service that holds the node's copy of the published state.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use futures::future::{self, Either};
+use masticarch_kernel::{address, mailbox, stop, task};
+use masticarch_model::{directory, incarnation, node, target, version, view};
+use masticarch_wire::message::sync;
+
+use super::{home, message, poll};
+use crate::{gate, leader, metrics, name, options, target as local};
+
+/// Longest time that the leader holds a request without news.
+const HOLD_MS: u32 = 500;
+
+/// What the service works with.
+pub struct Context {
+    /// Settings.
+    pub options: Rc<options::Options>,
+    /// Run of this process.
+    pub incarnation: incarnation::Incarnation,
+    /// Metrics.
+    pub metrics: metrics::Metrics,
+    /// Its own address, for the poll.
+    pub own: address::Address<message::Message>,
+    /// Receives every compiled directory.
+    pub gate: address::Address<gate::message::Message>,
+    /// Knows the local targets.
+    pub target: address::Address<local::message::Message>,
+}
+
+struct Sync {
+    context: Context,
+    view: view::View,
+    directory: Rc<directory::Directory>,
+    current: Option<Instant>,
+    announced: Vec<target::Target>,
+    draining: bool,
+}
+
+/// Runs the service until asked to stop, then tells the leader that the node
+/// leaves.
+pub async fn run(
+    mut mailbox: mailbox::Mailbox<message::Message>,
+    context: Context,
+    stop: stop::Stop,
+) {
+    let options = Rc::clone(&context.options);
+    let leader = || leader::Leader::new(options.control.clone(), options.credential.clone());
+    let polling = poll::run(leader(), context.own.clone());
+    let ended = stop.clone();
+    drop(task::spawn(name::SYNC, async move {
+        future::select(std::pin::pin!(polling), std::pin::pin!(ended.wait())).await;
+    }));
+    let mut sync = Sync {
+        context,
+        view: view::View::default(),
+        directory: Rc::default(),
+        current: None,
+        announced: Vec::new(),
+        draining: false,
+    };
+    let mut stopped = std::pin::pin!(stop.wait());
+    loop {
+        let next = std::pin::pin!(mailbox.receive());
+        match future::select(stopped.as_mut(), next).await {
+            Either::Right((Some(message), _)) => sync.handle(message).await,
+            _ => break,
+        }
+    }
+    let request = sync.request().await;
+    poll::leave(leader(), request).await;
+}
+
+impl Sync {
+    async fn handle(&mut self, message: message::Message) {
+        match message {
+            message::Message::Prepare(reply) => {
+                let request = self.request().await;
+                let _ = reply.send(request);
+            }
+            message::Message::Received(reply, sent) => self.receive(reply, sent).await,
+            message::Message::Home(id, reply) => {
+                let _ = reply.send(self.home(&id));
+            }
+            message::Message::Drain => self.draining = true,
+            message::Message::Status(reply) => {
+                let _ = reply.send(self.status());
+            }
+        }
+    }
+
+    async fn request(&mut self) -> sync::Request {
+        let targets = self.targets().await;
+        let changed = targets != self.announced;
+        self.announced.clone_from(&targets);
+        let options = &self.context.options;
+        sync::Request {
+            node: node::Node {
+                name: options.name.clone(),
+                incarnation: self.context.incarnation,
+                place: options.place.clone(),
+                peer: options.advertised.unwrap_or(options.peer),
+            },
+            targets,
+            held: self.view.version,
+            // A changed announcement is followed at once by a further poll,
+            // which brings it back to this node.
+            hold_ms: if changed { 0 } else { HOLD_MS },
+            leaving: false,
+        }
+    }
+
+    async fn targets(&self) -> Vec<target::Target> {
+        let list = self.context.target.ask(local::message::Message::List).await;
+        let mut targets = list.unwrap_or_default();
+        targets.sort_by(|left, right| left.service.cmp(&right.service));
+        if self.draining {
+            for target in &mut targets {
+                target.state = target::State::Draining;
+            }
+        }
+        targets
+    }
+
+    async fn receive(&mut self, reply: sync::Reply, sent: Instant) {
+        let before = self.view.version;
+        match reply {
+            sync::Reply::Deltas(reached, deltas) if reached >= before => {
+                for delta in &deltas {
+                    self.view.apply(delta);
+                }
+                self.view.version = reached;
+            }
+            sync::Reply::Snapshot(view) if view.version >= before => self.view = *view,
+            // An older version than the one held is never applied.
+            _ => return,
+        }
+        self.current = Some(sent);
+        self.publish(before, sent).await;
+    }
+
+    async fn publish(&mut self, before: version::Version, sent: Instant) {
+        let message = if self.view.version == before {
+            gate::message::Message::Current(sent)
+        } else {
+            self.directory = Rc::new(directory::Directory::new(&self.view));
+            gate::message::Message::Install(Rc::clone(&self.directory), sent)
+        };
+        self.context.metrics.hold(self.view.version);
+        let _ = self.context.gate.send(message).await;
+    }
+
+    fn home(&self, id: &str) -> Option<home::Home> {
+        let node = home::of(&self.directory, id)?;
+        if node.name == self.context.options.name {
+            Some(home::Home::Here)
+        } else {
+            Some(home::Home::There(node.peer))
+        }
+    }
+
+    fn status(&self) -> message::Status {
+        message::Status {
+            version: self.view.version,
+            configuration_version: self.view.configuration_version,
+            age: self.current.map(|current| current.elapsed()),
+            draining: self.draining,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/tests/common/mod.rs
@@ -0,0 +1,7 @@
+//! Fixtures: nodes with a stand-in for control, targets and raw clients.
+#![allow(dead_code, reason = "each test file uses a part of the fixtures")]
+
+pub mod client;
+pub mod control;
+pub mod fleet;
+pub mod target;
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -8,10 +8,13 @@
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 /// Remaining time of a request in milliseconds.
 pub const DEADLINE_MS: &str = "masticarch-deadline-ms";
-/// Name of the priority; a caller may only lower it.
+/// Name of the priority; a caller may only lower it. Between nodes and to
+/// targets it holds the rank, 0 being the highest.
 pub const PRIORITY: &str = "masticarch-priority";
 /// Handle of the running call, given to targets for their own calls.
 pub const CONTEXT: &str = "masticarch-context";
+/// Weight of the team within its priority, between nodes.
+pub const WEIGHT: &str = "masticarch-weight";
 /// Team for which a request runs, as targets and nodes see it.
 pub const TEAM: &str = "masticarch-team";
 /// Route of a request between nodes.
--- a/crates/wire/src/http/connection.rs
+++ b/crates/wire/src/http/connection.rs
@@ -16,6 +16,10 @@
 const READ_BYTES: usize = 8 << 10;
 /// Space for bytes that arrive while an answer is awaited.
 const WATCH_BYTES: usize = 2 << 10;
+/// Most bytes read and thrown away before a connection is closed.
+const FINISH_BYTES: usize = 4 << 20;
+/// Longest time for reading them.
+const FINISH_TIMEOUT: Duration = Duration::from_millis(500);
 /// Larger input buffers are not kept between messages.
 const KEPT_BYTES: usize = 64 << 10;
 
@@ -117,6 +121,24 @@
         std::future::pending::<()>().await;
     }
 
+    /// Closes the sending side and reads what the other side still sends, for a
+    /// short time. Closing with unread bytes would reset the connection, and the
+    /// other side might lose the last answer.
+    pub async fn finish(&mut self) {
+        let _ = self.stream.shutdown().await;
+        let rest = async {
+            let mut total = 0;
+            while total < FINISH_BYTES {
+                self.input.clear();
+                if self.fill().await.is_err() {
+                    return;
+                }
+                total += self.input.len();
+            }
+        };
+        let _ = monoio::time::timeout(FINISH_TIMEOUT, rest).await;
+    }
+
     /// Whether an idle connection may carry a request: still open, and no byte
     /// has arrived that nobody asked for.
     pub fn is_idle(&mut self) -> bool {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod http;
 pub mod message;
 pub mod rpc;
+pub mod socket;
 
 // The generated code refers to itself from the root of the crate.
 pub use generated::masticarch_capnp;
--- a/crates/wire/src/message/mod.rs
+++ b/crates/wire/src/message/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod claim;
 pub mod lease;
+pub mod ledger;
 pub mod operator;
 pub mod status;
 pub mod sync;
--- /dev/null
+++ b/crates/wire/src/socket.rs
@@ -0,0 +1,55 @@
+//! Options of TCP connections between the project's processes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use monoio::net::TcpStream;
+use socket2::{Domain, Protocol, Socket, TcpKeepalive, Type};
+
+use crate::error;
+
+/// Time for opening a connection.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest time that sent bytes may stay unacknowledged.
+const USER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Idle time before the first keepalive probe, and between probes.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+
+/// Opens a connection with keepalive, a user timeout and without delays for
+/// small writes.
+///
+/// # Errors
+/// [`error::Error::Io`] or [`error::Error::Timeout`].
+pub async fn connect(address: SocketAddr) -> Result<TcpStream, error::Error> {
+    let stream = TcpStream::from_std(start(address)?.into())?;
+    monoio::time::timeout(CONNECT_TIMEOUT, stream.writable(false))
+        .await
+        .map_err(|_| error::Error::Timeout)??;
+    // A failed connection is writable too, but has no peer.
+    stream.peer_addr()?;
+    Ok(stream)
+}
+
+/// Starts to connect. The options are set before the socket is handed to the
+/// runtime, because the runtime's stream does not lend its descriptor safely.
+fn start(address: SocketAddr) -> Result<Socket, std::io::Error> {
+    let socket = Socket::new(
+        Domain::for_address(address),
+        Type::STREAM,
+        Some(Protocol::TCP),
+    )?;
+    socket.set_nonblocking(true)?;
+    socket.set_tcp_nodelay(true)?;
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE)
+        .with_interval(KEEPALIVE);
+    socket.set_tcp_keepalive(&keepalive)?;
+    match socket.connect(&address.into()) {
+        Err(error) if error.raw_os_error() != Some(IN_PROGRESS) => Err(error),
+        _ => Ok(socket),
+    }
+}
+
+/// `EINPROGRESS` of Linux.
+const IN_PROGRESS: i32 = 115;
