Add the decisions on the request path as pure code

The gate, admission and ledger services need their decisions apart from sockets and clocks, so that tests can drive them with made-up moments.

Ruled out: a lasting minimum latency as the reference of the limit (collapses when the service slows down for good), and a full early refusal while targets shed (targets would run idle until the level relaxes).

Adds limit, queue, shed, share::holder, credit, ledger, route, eject and currency.

--- /dev/null
+++ b/crates/policy/src/credit/account.rs
@@ -0,0 +1,68 @@
+//! The credit of a call that runs at a target.
+
+use crate::credit::{half, loan, tree};
+
+/// The credit of a call that runs at a target, kept by the target's node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Account {
+    available: u8,
+    lent: u8,
+    sub_calls: u32,
+    repeat: bool,
+    executions: Option<u32>,
+}
+
+impl Account {
+    /// Opens the account of an execution, which costs one credit under the
+    /// repeat mark; `None` when there is none, and the call must not run.
+    #[must_use]
+    pub const fn open(loan: loan::Loan) -> Option<Self> {
+        let cost = if loan.repeat { 1 } else { 0 };
+        let Some(available) = loan.credit.checked_sub(cost) else {
+            return None;
+        };
+        Some(Self {
+            available,
+            lent: 0,
+            sub_calls: 0,
+            repeat: loan.repeat,
+            executions: Some(1),
+        })
+    }
+
+    /// Lends half of the credit, rounded up, to a sub-call.
+    pub const fn lend(&mut self) -> loan::Loan {
+        let credit = half::half_up(self.available);
+        self.available -= credit;
+        self.lent = self.lent.saturating_add(credit);
+        self.sub_calls += 1;
+        loan::Loan {
+            credit,
+            repeat: self.repeat,
+        }
+    }
+
+    /// Takes back what a sub-call left; never more than is lent.
+    pub fn take_back(&mut self, tree: tree::Tree) {
+        let credit = tree.credit.min(self.lent);
+        self.lent -= credit;
+        self.available = self.available.saturating_add(credit);
+        self.sub_calls = self.sub_calls.saturating_sub(1);
+        self.executions = tree::sum(self.executions, tree.executions);
+    }
+
+    /// Closes the account. Credit that is still lent is lost, and the
+    /// executions are unknown while a sub-call has not come back.
+    #[must_use]
+    pub const fn close(self) -> tree::Tree {
+        let executions = if self.sub_calls == 0 {
+            self.executions
+        } else {
+            None
+        };
+        tree::Tree {
+            credit: self.available,
+            executions,
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/credit/mod.rs
@@ -0,0 +1,8 @@
+//! Retry credit carried with a call, which bounds the extra executions of a
+//! whole call tree.
+
+pub mod account;
+pub mod half;
+pub mod loan;
+pub mod purse;
+pub mod tree;
--- /dev/null
+++ b/crates/policy/src/ledger/mod.rs
@@ -0,0 +1,5 @@
+//! Recognition of a caller's resends by request id.
+
+mod entry;
+pub mod refusal;
+pub mod table;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,1 +1,14 @@
-//! policy
+//! Decisions on the request path, without sockets, clocks or encodings: the
+//! present moment and random numbers are arguments.
+
+pub mod credit;
+pub mod currency;
+pub mod eject;
+pub mod estimate;
+pub mod ledger;
+pub mod limit;
+mod number;
+pub mod queue;
+pub mod route;
+pub mod share;
+pub mod shed;
--- /dev/null
+++ b/crates/policy/src/limit/adaptive.rs
@@ -0,0 +1,185 @@
+//! A concurrency limit that follows the latency of the target.
+
+use std::time::Instant;
+
+use crate::limit::window::Window;
+use crate::limit::{Limiter, sample};
+use crate::number;
+
+/// Part of the limit in force while the reference latency is measured.
+const PROBE_PART: f64 = 0.7;
+/// Ratio of short to reference latency taken for queueing. It lies below
+/// `1 / PROBE_PART`, so that a limit above the slots always falls: there the
+/// latency grows in proportion to the limit.
+const TOLERANCE: f64 = 1.25;
+/// Strongest decrease at one window.
+const MAX_DECREASE: f64 = 0.7;
+/// Growth per window while the limit is below half of the slots.
+const RAMP: f64 = 1.5;
+/// Windows in use between two measurements of the reference.
+const PROBE_INTERVAL_WINDOWS: u32 = 10;
+/// Weight of a window that is faster than the reference.
+const GAIN_DOWN: f64 = 0.5;
+/// Weight of a slower window while the limit is not in use.
+const GAIN_IDLE: f64 = 0.1;
+/// Part of the limit from which on it counts as in use.
+const USED_PART: f64 = 0.9;
+
+/// What the limiter measures at present.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// The short window, at the whole limit.
+    Normal,
+    /// The reference, at a part of the limit.
+    Probe,
+}
+
+/// Compares the latency at the whole limit with that at a part of it. Where
+/// both are equal the target has free slots and the limit grows; where latency
+/// grows with the limit, requests queue at the target and the limit falls.
+///
+/// A lasting minimum as the reference was rejected: it collapses the limit when
+/// the service slows down for good or when latency is mostly noise.
+#[derive(Clone, Debug)]
+pub struct Adaptive {
+    limit: f64,
+    slots: f64,
+    connections: f64,
+    phase: Phase,
+    settled: Option<Instant>,
+    window: Window,
+    reference_seconds: Option<f64>,
+    windows_to_probe: u32,
+}
+
+impl Adaptive {
+    fn add(&mut self, sample: sample::Sample, in_flight: u32, now: Instant) {
+        let seconds = sample.observed().as_secs_f64();
+        let reference = self.reference_seconds.unwrap_or_default();
+        // A fast failure or an early cancellation says nothing about latency.
+        if matches!(sample, sample::Sample::AtLeast(_)) && seconds <= reference {
+            return;
+        }
+        let used = f64::from(in_flight) >= USED_PART * f64::from(self.current());
+        self.window.add(seconds, used, now);
+    }
+
+    /// Whether a request that ends now began after the limit in force had
+    /// taken effect.
+    fn counts(&mut self, sample: sample::Sample, in_flight: u32, now: Instant) -> bool {
+        if self.settled.is_none() && in_flight <= self.current() {
+            self.settled = Some(now);
+        }
+        let begun = now.checked_sub(sample.observed()).unwrap_or(now);
+        self.settled.is_some_and(|settled| begun >= settled)
+    }
+
+    fn close(&mut self) {
+        let window = std::mem::take(&mut self.window);
+        match self.phase {
+            Phase::Normal => self.close_normal(&window),
+            Phase::Probe => {
+                self.reference_seconds = Some(window.mean());
+                self.windows_to_probe = PROBE_INTERVAL_WINDOWS;
+                self.enter(Phase::Normal);
+            }
+        }
+    }
+
+    fn close_normal(&mut self, window: &Window) {
+        let short = window.mean();
+        let reference = self.follow(short, window.used());
+        if !window.used() {
+            return;
+        }
+        self.windows_to_probe = self.windows_to_probe.saturating_sub(1);
+        let ratio = short / reference.max(f64::MIN_POSITIVE);
+        if ratio > TOLERANCE {
+            self.decrease(ratio);
+        } else {
+            self.increase();
+        }
+        let lower = number::floor(self.limit * PROBE_PART).max(1);
+        if self.windows_to_probe == 0 && lower < self.current() {
+            self.enter(Phase::Probe);
+        }
+    }
+
+    /// Moves the reference towards a window where that is safe without a probe.
+    fn follow(&mut self, short: f64, used: bool) -> f64 {
+        let reference = self.reference_seconds.unwrap_or(short);
+        let gain = match (short < reference, used) {
+            (true, _) => GAIN_DOWN,
+            (false, false) => GAIN_IDLE,
+            (false, true) => 0.0,
+        };
+        let moved = reference + gain * (short - reference);
+        self.reference_seconds = Some(moved);
+        moved
+    }
+
+    fn decrease(&mut self, ratio: f64) {
+        let part = (TOLERANCE / ratio).max(MAX_DECREASE);
+        self.set(self.limit * part);
+        // The service itself may have slowed down: measure the reference again
+        // before the limit falls further.
+        self.windows_to_probe = self.windows_to_probe.min(1);
+    }
+
+    fn increase(&mut self) {
+        if self.limit < self.slots / 2.0 {
+            self.set(self.limit * RAMP);
+        } else {
+            self.set(self.limit + (self.limit.sqrt() / 2.0).max(1.0));
+        }
+    }
+
+    fn set(&mut self, limit: f64) {
+        self.limit = limit.clamp(1.0, self.connections);
+    }
+
+    fn enter(&mut self, phase: Phase) {
+        self.phase = phase;
+        self.settled = None;
+    }
+}
+
+impl Limiter for Adaptive {
+    fn new(slots: u32, connections: u32) -> Self {
+        let connections = f64::from(connections.max(1));
+        Self {
+            limit: (f64::from(slots) / 4.0).clamp(1.0, connections),
+            slots: f64::from(slots),
+            connections,
+            phase: Phase::Normal,
+            settled: None,
+            window: Window::default(),
+            reference_seconds: None,
+            windows_to_probe: PROBE_INTERVAL_WINDOWS,
+        }
+    }
+
+    fn current(&self) -> u32 {
+        let part = match self.phase {
+            Phase::Normal => 1.0,
+            Phase::Probe => PROBE_PART,
+        };
+        number::floor(self.limit * part).max(1)
+    }
+
+    fn completed(&mut self, sample: sample::Sample, in_flight: u32, now: Instant) {
+        if !self.counts(sample, in_flight, now) {
+            return;
+        }
+        self.add(sample, in_flight, now);
+        if self.window.is_full(self.current(), now) {
+            self.close();
+        }
+    }
+
+    fn resize(&mut self, slots: u32, connections: u32) {
+        self.slots = f64::from(slots);
+        self.connections = f64::from(connections.max(1));
+        self.set(self.limit);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/queue/bounded.rs
@@ -0,0 +1,164 @@
+//! The queue of requests that wait for a target.
+
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+use slotmap::SlotMap;
+
+use crate::queue::{bounds, entry, offer, rank, taken, ticket};
+
+/// Requests that wait for a target, bounded in time and number. A higher
+/// priority always goes first; within a priority the team that has received the
+/// least service per weight does.
+#[derive(Debug)]
+pub struct Queue<T> {
+    entries: SlotMap<entry::EntryKey, entry::Entry<T>>,
+    ranks: Vec<rank::Rank>,
+    expiries: BTreeSet<(Instant, entry::EntryKey)>,
+}
+
+impl<T> Default for Queue<T> {
+    fn default() -> Self {
+        Self {
+            entries: SlotMap::with_key(),
+            ranks: Vec::new(),
+            expiries: BTreeSet::new(),
+        }
+    }
+}
+
+impl<T> Queue<T> {
+    /// Offers a request to the queue.
+    pub fn push(
+        &mut self,
+        ticket: &ticket::Ticket,
+        item: T,
+        bounds: &bounds::Bounds,
+        now: Instant,
+    ) -> offer::Offer<T> {
+        let latest_start = ticket.deadline.checked_sub(bounds.service);
+        let Some(latest_start) = latest_start.filter(|latest| *latest > now) else {
+            return offer::Offer::TooLate(item);
+        };
+        let displaced = if self.entries.len() < bounds.entries {
+            None
+        } else {
+            match self.displaceable(ticket) {
+                Some(key) => self.remove(key),
+                None => return offer::Offer::Full(item),
+            }
+        };
+        self.insert(ticket, item, latest_start.min(now + bounds.wait), now);
+        match displaced {
+            Some(entry) => offer::Offer::Displaced(entry.item, entry.rank),
+            None => offer::Offer::Queued,
+        }
+    }
+
+    /// Takes the request that goes first. [`Self::expire`] must have been
+    /// called for the same moment.
+    pub fn pop(&mut self, now: Instant) -> Option<taken::Taken<T>> {
+        let key = self.ranks.iter().find_map(rank::Rank::first)?;
+        let entry = self.remove(key)?;
+        self.ranks[usize::from(entry.rank)].charge(entry.lane);
+        Some(taken::Taken {
+            item: entry.item,
+            rank: entry.rank,
+            waited: now.saturating_duration_since(entry.queued),
+        })
+    }
+
+    /// Takes a request that has waited too long to be worth running.
+    pub fn expire(&mut self, now: Instant) -> Option<taken::Taken<T>> {
+        let (expires, key) = self.expiries.first().copied()?;
+        if expires > now {
+            return None;
+        }
+        let entry = self.remove(key)?;
+        Some(taken::Taken {
+            item: entry.item,
+            rank: entry.rank,
+            waited: now.saturating_duration_since(entry.queued),
+        })
+    }
+
+    /// When the next request expires.
+    #[must_use]
+    pub fn next_expiry(&self) -> Option<Instant> {
+        self.expiries.first().map(|(expires, _)| *expires)
+    }
+
+    /// Number of waiting requests.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no request waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Takes every waiting request.
+    pub fn drain(&mut self) -> Vec<T> {
+        let queue = std::mem::take(self);
+        queue
+            .entries
+            .into_iter()
+            .map(|(_, entry)| entry.item)
+            .collect()
+    }
+
+    fn insert(&mut self, ticket: &ticket::Ticket, item: T, expires: Instant, now: Instant) {
+        let lane = self
+            .rank(ticket.rank)
+            .lane(ticket.team.as_ref(), ticket.weight);
+        let key = self.entries.insert(entry::Entry {
+            item,
+            rank: ticket.rank,
+            lane,
+            queued: now,
+            expires,
+        });
+        self.expiries.insert((expires, key));
+        self.rank(ticket.rank).push(lane, key);
+    }
+
+    fn remove(&mut self, key: entry::EntryKey) -> Option<entry::Entry<T>> {
+        let entry = self.entries.remove(key)?;
+        self.expiries.remove(&(entry.expires, key));
+        let entries = &self.entries;
+        self.ranks[usize::from(entry.rank)].remove(entry.lane, |key| entries.contains_key(key));
+        Some(entry)
+    }
+
+    /// The waiting request that goes after a new one: the last one of a lower
+    /// rank, or of a team of the same rank with a larger backlog.
+    fn displaceable(&mut self, ticket: &ticket::Ticket) -> Option<entry::EntryKey> {
+        let (lowest, last) = self
+            .ranks
+            .iter()
+            .enumerate()
+            .rev()
+            .find_map(|(index, rank)| Some((index, rank.last()?)))?;
+        let own = usize::from(ticket.rank);
+        if lowest > own {
+            return Some(last.0);
+        }
+        if lowest < own {
+            return None;
+        }
+        let rank = self.rank(ticket.rank);
+        let lane = rank.lane(ticket.team.as_ref(), ticket.weight);
+        (rank.backlog_with_one_more(lane) < last.1).then_some(last.0)
+    }
+
+    fn rank(&mut self, rank: u8) -> &mut rank::Rank {
+        let index = usize::from(rank);
+        if self.ranks.len() <= index {
+            self.ranks.resize_with(index + 1, rank::Rank::default);
+        }
+        &mut self.ranks[index]
+    }
+}
--- /dev/null
+++ b/crates/policy/src/queue/bounds.rs
@@ -0,0 +1,14 @@
+//! What the queue may hold at present.
+
+use std::time::Duration;
+
+/// What the queue may hold at present.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Longest time in the queue.
+    pub wait: Duration,
+    /// Time that the target is expected to need for a request.
+    pub service: Duration,
+    /// Most entries.
+    pub entries: usize,
+}
--- /dev/null
+++ b/crates/policy/src/queue/entry.rs
@@ -0,0 +1,22 @@
+//! A request in the queue.
+
+use std::time::Instant;
+
+use slotmap::new_key_type;
+
+use crate::queue::lane;
+
+new_key_type! {
+    /// Copyable key of a queued request.
+    pub struct EntryKey;
+}
+
+/// A request in the queue.
+#[derive(Debug)]
+pub struct Entry<T> {
+    pub item: T,
+    pub rank: u8,
+    pub lane: lane::LaneKey,
+    pub queued: Instant,
+    pub expires: Instant,
+}
--- /dev/null
+++ b/crates/policy/src/queue/mod.rs
@@ -0,0 +1,11 @@
+//! The queue of requests that wait for a target: bounded in time, strict in the
+//! order of priorities, fair between the teams of one priority.
+
+pub mod bounded;
+pub mod bounds;
+mod entry;
+mod lane;
+pub mod offer;
+mod rank;
+pub mod taken;
+pub mod ticket;
--- /dev/null
+++ b/crates/policy/src/route/mod.rs
@@ -0,0 +1,5 @@
+//! Choice of the target for an attempt.
+
+pub mod load;
+pub mod locality;
+pub mod pool;
--- /dev/null
+++ b/crates/policy/src/route/pool.rs
@@ -0,0 +1,109 @@
+//! The targets of one service as seen from one node.
+
+use std::time::Duration;
+
+use fastrand::Rng;
+
+use crate::route::{load, locality};
+
+/// Random draws before all targets are looked at for a usable one.
+const DRAWS: usize = 4;
+/// By how much a remote target must be cheaper than a near one; below the
+/// latency between regions, spilling flaps with every change of load.
+const SPILL_MARGIN: Duration = Duration::from_millis(12);
+
+/// The serving targets of one service, by region; `K` is a `Copy` key.
+#[derive(Clone, Debug)]
+pub struct Pool<K> {
+    near: Vec<K>,
+    remote: Vec<K>,
+}
+
+impl<K> Default for Pool<K> {
+    fn default() -> Self {
+        Self {
+            near: Vec::new(),
+            remote: Vec::new(),
+        }
+    }
+}
+
+impl<K: Copy + PartialEq> Pool<K> {
+    /// Adds a target.
+    pub fn add(&mut self, key: K, locality: locality::Locality) {
+        match locality {
+            locality::Locality::Remote => self.remote.push(key),
+            locality::Locality::Domain | locality::Locality::Region => self.near.push(key),
+        }
+    }
+
+    /// Every target.
+    pub fn iter(&self) -> impl Iterator<Item = K> + '_ {
+        self.near.iter().chain(&self.remote).copied()
+    }
+
+    /// Number of targets.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.near.len() + self.remote.len()
+    }
+
+    /// Whether there are no targets.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.near.is_empty() && self.remote.is_empty()
+    }
+
+    /// Chooses the cheaper of two random usable targets in the region. A remote
+    /// one is taken when there is none, or when it is cheaper by a margin.
+    pub fn choose(
+        &self,
+        rng: &mut Rng,
+        usable: impl Fn(K) -> bool,
+        load: impl Fn(K) -> load::Load,
+    ) -> Option<K> {
+        let near = choose_two(&self.near, rng, &usable, &load);
+        let cost = near.map(|key| load(key).cost());
+        if cost.is_some_and(|cost| cost <= SPILL_MARGIN + locality::Locality::Remote.latency()) {
+            return near;
+        }
+        let remote = choose_two(&self.remote, rng, &usable, &load);
+        match (near, remote) {
+            (Some(close), Some(far)) => {
+                let spill = load(far).cost() + SPILL_MARGIN < load(close).cost();
+                Some(if spill { far } else { close })
+            }
+            (close, far) => close.or(far),
+        }
+    }
+}
+
+/// Power of two choices on the cost.
+fn choose_two<K: Copy + PartialEq>(
+    keys: &[K],
+    rng: &mut Rng,
+    usable: &impl Fn(K) -> bool,
+    load: &impl Fn(K) -> load::Load,
+) -> Option<K> {
+    let first = draw(keys, rng, usable)?;
+    let second = draw(keys, rng, |key| key != first && usable(key));
+    let better = second.filter(|key| load(*key).cost() < load(first).cost());
+    better.or(Some(first))
+}
+
+/// A random usable key. Looks at all keys only when some draws find none, so
+/// that the usual cost does not grow with the number of targets.
+fn draw<K: Copy>(keys: &[K], rng: &mut Rng, usable: impl Fn(K) -> bool) -> Option<K> {
+    if keys.is_empty() {
+        return None;
+    }
+    for _ in 0..DRAWS {
+        let key = keys[rng.usize(..keys.len())];
+        if usable(key) {
+            return Some(key);
+        }
+    }
+    let start = rng.usize(..keys.len());
+    let (before, after) = keys.split_at(start);
+    after.iter().chain(before).copied().find(|key| usable(*key))
+}
--- /dev/null
+++ b/crates/policy/src/share/bucket.rs
@@ -0,0 +1,76 @@
+//! A token bucket.
+
+use std::time::{Duration, Instant};
+
+use crate::share::Share;
+
+/// Added to a computed wait, so that rounding cannot wake a waiter too early.
+const ROUNDING: Duration = Duration::from_micros(1);
+/// Longest computed wait, where the rate is almost 0.
+const MAX_WAIT_SECONDS: f64 = 3600.0;
+
+/// A token bucket on a share; one token pays for one request.
+#[derive(Clone, Copy, Debug)]
+pub struct Bucket {
+    share: Share,
+    tokens: f64,
+    at: Instant,
+}
+
+impl Bucket {
+    /// An empty bucket on an empty share.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            share: Share::default(),
+            tokens: 0.0,
+            at: now,
+        }
+    }
+
+    /// The share.
+    pub const fn share(&self) -> Share {
+        self.share
+    }
+
+    /// Adds the tokens earned since the last call.
+    pub fn advance(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.at);
+        let earned = elapsed.as_secs_f64() * self.share.rate_per_second;
+        self.tokens = (self.tokens + earned).min(self.share.burst);
+        self.at = self.at.max(now);
+    }
+
+    /// Takes one token, if there is one.
+    pub fn take(&mut self) -> bool {
+        let enough = self.tokens >= 1.0;
+        if enough {
+            self.tokens -= 1.0;
+        }
+        enough
+    }
+
+    /// Changes the share and adds tokens from the owner's pool; returns the
+    /// tokens that no longer fit.
+    pub fn resize(&mut self, share: Share, tokens: f64) -> f64 {
+        let total = self.tokens + tokens.max(0.0);
+        self.share = share;
+        self.tokens = total.min(share.burst);
+        total - self.tokens
+    }
+
+    /// Drops the share and all tokens.
+    pub fn clear(&mut self) {
+        self.share = Share::default();
+        self.tokens = 0.0;
+    }
+
+    /// When the next token is there; `None` when none will be.
+    pub fn next_token(&self) -> Option<Instant> {
+        if self.share.rate_per_second <= 0.0 || self.share.burst < 1.0 {
+            return None;
+        }
+        let missing = (1.0 - self.tokens).max(0.0);
+        let seconds = (missing / self.share.rate_per_second).min(MAX_WAIT_SECONDS);
+        Some(self.at + Duration::from_secs_f64(seconds) + ROUNDING)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/share/demand.rs
@@ -0,0 +1,39 @@
+//! Measured demand of a team.
+
+use std::time::{Duration, Instant};
+
+/// Time constant of the measurement.
+const DECAY: Duration = Duration::from_secs(1);
+
+/// Requests per second, as an exponentially decaying count.
+#[derive(Clone, Copy, Debug)]
+pub struct Demand {
+    count: f64,
+    at: Instant,
+}
+
+impl Demand {
+    /// No demand so far.
+    pub const fn new(now: Instant) -> Self {
+        Self {
+            count: 0.0,
+            at: now,
+        }
+    }
+
+    /// Counts a request.
+    pub fn add(&mut self, now: Instant) {
+        self.count = self.decayed(now) + 1.0;
+        self.at = now;
+    }
+
+    /// Requests per second at present.
+    pub fn per_second(&self, now: Instant) -> f64 {
+        self.decayed(now) / DECAY.as_secs_f64()
+    }
+
+    fn decayed(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.at);
+        self.count * (-age.as_secs_f64() / DECAY.as_secs_f64()).exp()
+    }
+}
--- /dev/null
+++ b/crates/policy/src/share/holder.rs
@@ -0,0 +1,169 @@
+//! A node's leased share of one team's limit.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use crate::share::{Share, bucket, decision, demand, report};
+
+/// Time for which a share is leased, counted by the node from before it sent
+/// the request that was granted.
+pub const LEASE: Duration = Duration::from_secs(5);
+/// Shortest time between two reports because of changed demand.
+pub const URGENT_INTERVAL: Duration = Duration::from_millis(250);
+/// Part by which demand must change for an urgent report.
+const URGENT_PART: f64 = 0.25;
+/// Smallest change of demand for an urgent report, so that the noise of a few
+/// requests per second causes none.
+const URGENT_MIN_PER_SECOND: f64 = 2.0;
+/// Demand below which a team is idle.
+const IDLE_PER_SECOND: f64 = 0.01;
+/// Most requests of one team that wait for tokens; bounds memory while a team
+/// sends several times its rate.
+const MAX_WAITING: usize = 1024;
+
+/// A request that waits for a token.
+#[derive(Debug)]
+struct Waiter<T> {
+    item: T,
+    until: Instant,
+}
+
+/// The demand that the owner knows of.
+#[derive(Clone, Copy, Debug)]
+struct Reported {
+    at: Instant,
+    demand_per_second: f64,
+}
+
+/// A node's leased share of one team's limit, and the requests that wait for
+/// its tokens in the order of arrival.
+#[derive(Debug)]
+pub struct Holder<T> {
+    bucket: bucket::Bucket,
+    expires: Option<Instant>,
+    released: f64,
+    demand: demand::Demand,
+    reported: Option<Reported>,
+    waiting: VecDeque<Waiter<T>>,
+}
+
+impl<T> Holder<T> {
+    /// A holder without a share.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self {
+            bucket: bucket::Bucket::new(now),
+            expires: None,
+            released: 0.0,
+            demand: demand::Demand::new(now),
+            reported: None,
+            waiting: VecDeque::new(),
+        }
+    }
+
+    /// Decides on a request that may wait until `until`.
+    pub fn request(&mut self, item: T, until: Instant, now: Instant) -> decision::Decision<T> {
+        self.advance(now);
+        self.demand.add(now);
+        if self.waiting.is_empty() && self.bucket.take() {
+            return decision::Decision::Pass(item);
+        }
+        if until <= now || self.waiting.len() >= MAX_WAITING {
+            return decision::Decision::Refuse(item);
+        }
+        self.waiting.push_back(Waiter { item, until });
+        decision::Decision::Wait
+    }
+
+    /// Takes the next waiting request whose wait has ended, one way or the
+    /// other. [`decision::Decision::Wait`] says that there is none.
+    pub fn next(&mut self, now: Instant) -> decision::Decision<T> {
+        self.advance(now);
+        let Some(waiter) = self.waiting.pop_front() else {
+            return decision::Decision::Wait;
+        };
+        if waiter.until <= now {
+            return decision::Decision::Refuse(waiter.item);
+        }
+        if self.bucket.take() {
+            return decision::Decision::Pass(waiter.item);
+        }
+        self.waiting.push_front(waiter);
+        decision::Decision::Wait
+    }
+
+    /// When [`Self::next`] may have a request; `None` when none waits.
+    #[must_use]
+    pub fn wake(&self) -> Option<Instant> {
+        let until = self.waiting.front()?.until;
+        let token = self.bucket.next_token();
+        Some(token.map_or(until, |token| token.min(until)))
+    }
+
+    /// Takes every waiting request.
+    pub fn drain(&mut self) -> impl Iterator<Item = T> + '_ {
+        self.waiting.drain(..).map(|waiter| waiter.item)
+    }
+
+    /// Applies the grant in answer to a request that was sent at `sent`. A
+    /// smaller share than the one held applies at once; tokens that no longer
+    /// fit are released with the next report.
+    pub fn grant(&mut self, share: Share, tokens: f64, sent: Instant, now: Instant) {
+        self.advance(now);
+        let expires = sent + LEASE;
+        if expires <= now {
+            return;
+        }
+        self.released += self.bucket.resize(share, tokens);
+        self.expires = self.expires.max(Some(expires));
+    }
+
+    /// Makes the report of the next lease request. Released tokens are in one
+    /// report only: if it is lost, so are they.
+    pub fn report(&mut self, now: Instant) -> report::Report {
+        self.advance(now);
+        let demand_per_second = self.demand.per_second(now);
+        self.reported = Some(Reported {
+            at: now,
+            demand_per_second,
+        });
+        report::Report {
+            held: self.bucket.share(),
+            released: std::mem::take(&mut self.released),
+            demand_per_second,
+        }
+    }
+
+    /// From when on the owner should hear of this team before the next regular
+    /// report; `None` when it need not.
+    #[must_use]
+    pub fn urgent_from(&self, now: Instant) -> Option<Instant> {
+        let demand = self.demand.per_second(now);
+        let Some(reported) = self.reported else {
+            return (demand >= IDLE_PER_SECOND).then_some(now);
+        };
+        let change = (demand - reported.demand_per_second).abs();
+        let quarter = URGENT_PART * reported.demand_per_second;
+        let urgent = change > quarter.max(URGENT_MIN_PER_SECOND)
+            || (!self.waiting.is_empty() && self.expires.is_none());
+        urgent.then(|| reported.at + URGENT_INTERVAL)
+    }
+
+    /// Whether there is nothing to report on the team.
+    #[must_use]
+    pub fn is_idle(&self, now: Instant) -> bool {
+        let unused = self.demand.per_second(now) < IDLE_PER_SECOND;
+        unused && self.expires.is_none_or(|at| at <= now) && self.waiting.is_empty()
+    }
+
+    /// Earns tokens, and drops a share whose lease has ended.
+    fn advance(&mut self, now: Instant) {
+        if self.expires.is_some_and(|expires| expires <= now) {
+            self.expires = None;
+            self.released = 0.0;
+            self.reported = None;
+            self.bucket.clear();
+        }
+        self.bucket.advance(now);
+    }
+}
