Add the admission and ledger services

Requests beside a target need one owner of the limit, the queue and the running calls. The limiter is a type parameter, so that the baseline of experiments runs the same code without a limit.

--- /dev/null
+++ b/crates/node/src/admission/local.rs
@@ -0,0 +1,174 @@
+//! A target beside this node, with its limit and its queue.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use masticarch_model::target;
+use masticarch_policy::credit::tree;
+use masticarch_policy::limit::{Limiter, sample};
+use masticarch_policy::queue::{bounded, bounds, offer, taken, ticket};
+use masticarch_policy::shed::level;
+use masticarch_policy::{estimate, queue};
+use slotmap::new_key_type;
+
+use crate::admission::{message, summary, waiting};
+
+new_key_type! {
+    /// Copyable key of a target beside this node.
+    pub struct LocalKey;
+}
+
+/// Fewest queue entries, for targets with a limit near 1.
+const MIN_ENTRIES: u32 = 32;
+/// Most queue entries; bounds memory whatever the estimates say.
+const MAX_ENTRIES: u32 = 10_000;
+
+/// A target beside this node, with its limit and its queue.
+#[derive(Debug)]
+pub struct Local<L> {
+    /// What the target announced.
+    pub target: target::Target,
+    /// Where it listens.
+    pub address: SocketAddr,
+    limiter: L,
+    queue: bounded::Queue<waiting::Waiting>,
+    queue_limit: Duration,
+    level: level::Level,
+    service_time: estimate::Estimate,
+    in_flight: u32,
+}
+
+impl<L: Limiter> Local<L> {
+    /// A target that was announced now.
+    pub fn new(
+        target: target::Target,
+        address: SocketAddr,
+        queue_limit: Duration,
+        now: Instant,
+    ) -> Self {
+        Self {
+            limiter: L::new(target.slots, target.connections),
+            target,
+            address,
+            queue: bounded::Queue::default(),
+            queue_limit,
+            level: level::Level::new(queue_limit, now),
+            service_time: estimate::Estimate::default(),
+            in_flight: 0,
+        }
+    }
+
+    /// The target announces other numbers, another state or another address.
+    pub fn update(&mut self, target: target::Target, address: SocketAddr) {
+        self.limiter.resize(target.slots, target.connections);
+        self.target = target;
+        self.address = address;
+    }
+
+    /// Offers a request to the queue.
+    pub fn push(
+        &mut self,
+        waiting: waiting::Waiting,
+        now: Instant,
+    ) -> offer::Offer<waiting::Waiting> {
+        let ticket = ticket::Ticket {
+            rank: waiting.entry.rank,
+            team: waiting.entry.team.clone(),
+            weight: waiting.entry.weight,
+            deadline: waiting.entry.deadline,
+        };
+        self.level.offered(ticket.rank);
+        let offer = self.queue.push(&ticket, waiting, &self.bounds(), now);
+        match &offer {
+            queue::offer::Offer::Displaced(_, rank) => self.level.dropped(*rank, now),
+            queue::offer::Offer::Full(_) => self.level.dropped(ticket.rank, now),
+            queue::offer::Offer::Queued | queue::offer::Offer::TooLate(_) => {}
+        }
+        offer
+    }
+
+    /// Takes a request that waited too long.
+    pub fn expire(&mut self, now: Instant) -> Option<waiting::Waiting> {
+        let taken = self.queue.expire(now)?;
+        self.level.dropped(taken.rank, now);
+        Some(taken.item)
+    }
+
+    /// Takes the next request to run, when the limit allows one.
+    pub fn pop(&mut self, now: Instant) -> Option<waiting::Waiting> {
+        while self.in_flight < self.limiter.current() {
+            let taken::Taken { item, waited, .. } = self.queue.pop(now)?;
+            if item.reply.is_canceled() {
+                continue;
+            }
+            self.level.waited(waited, now);
+            self.in_flight += 1;
+            return Some(item);
+        }
+        None
+    }
+
+    /// A request that was taken to run has ended.
+    pub fn ended(&mut self, end: message::End, now: Instant) {
+        let sample = match end {
+            message::End::Answered(time) => Some(sample::Sample::Whole(time)),
+            message::End::Failed(time) | message::End::Cancelled(time) => {
+                Some(sample::Sample::AtLeast(time))
+            }
+            message::End::NotRun => None,
+        };
+        if let Some(sample) = sample {
+            self.limiter.completed(sample, self.in_flight, now);
+        }
+        if let message::End::Answered(time) = end {
+            self.service_time.add(time);
+        }
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    /// When the next queued request expires.
+    pub fn wake(&self) -> Option<Instant> {
+        self.queue.next_expiry()
+    }
+
+    /// Takes every queued request.
+    pub fn drain(&mut self) -> Vec<waiting::Waiting> {
+        self.queue.drain()
+    }
+
+    /// What goes back with an answer.
+    pub fn summary(&self, tree: tree::Tree, now: Instant) -> summary::Summary {
+        summary::Summary {
+            credit: tree.credit,
+            executions: tree.executions,
+            overload: self.level.current(now),
+            limit: self.limiter.current(),
+            in_flight: self.in_flight,
+        }
+    }
+
+    fn bounds(&self) -> bounds::Bounds {
+        // With nothing in flight the estimate is not applied: no answer would
+        // ever correct one that has become too high.
+        let service = if self.in_flight == 0 {
+            Duration::ZERO
+        } else {
+            self.service_time.mean()
+        };
+        bounds::Bounds {
+            wait: self.queue_limit,
+            service,
+            entries: self.capacity() as usize,
+        }
+    }
+
+    /// Twice the number of requests that can leave the queue in time.
+    fn capacity(&self) -> u32 {
+        let service = self.service_time.mean().as_micros().max(1);
+        let limit = u128::from(self.limiter.current());
+        let served = limit.saturating_mul(2 * self.queue_limit.as_micros()) / service;
+        u32::try_from(served)
+            .unwrap_or(MAX_ENTRIES)
+            .clamp(MIN_ENTRIES, MAX_ENTRIES)
+    }
+}
--- /dev/null
+++ b/crates/node/src/admission/state.rs
@@ -0,0 +1,321 @@
+//! State of admission and its changes by messages.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use masticarch_kernel::reply;
+use masticarch_model::{code, map, name, target};
+use masticarch_policy::credit::{account, loan, tree};
+use masticarch_policy::limit::Limiter;
+use masticarch_policy::queue::offer;
+use masticarch_policy::shed::level;
+use slotmap::SlotMap;
+
+use crate::admission::{
+    call, context, counters, entry, key, local, message, permit, summary, waiting,
+};
+use crate::{origin, refusal};
+
+/// Time between two searches for calls that nobody ended.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Slot for the answer to a request that asks to run.
+type Reply = reply::Reply<Result<permit::Permit, message::Denial>>;
+
+/// State of admission. `L` limits the requests that run at a target at once.
+pub struct State<L> {
+    locals: SlotMap<local::LocalKey, local::Local<L>>,
+    services: map::Map<name::Name, local::LocalKey>,
+    calls: SlotMap<key::CallKey, call::Call>,
+    source: context::Source,
+    counters: counters::Counters,
+    queue_limit: Duration,
+    charges_repeats: bool,
+    next_sweep: Instant,
+}
+
+impl<L: Limiter> State<L> {
+    /// State without targets. `charges_repeats` is off in the baseline of
+    /// experiments.
+    pub fn new(
+        queue_limit: Duration,
+        charges_repeats: bool,
+        counters: counters::Counters,
+        now: Instant,
+    ) -> Self {
+        Self {
+            locals: SlotMap::with_key(),
+            services: map::Map::default(),
+            calls: SlotMap::with_key(),
+            source: context::Source::new(),
+            counters,
+            queue_limit,
+            charges_repeats,
+            next_sweep: now + SWEEP_INTERVAL,
+        }
+    }
+
+    /// Handles one message.
+    pub fn handle(&mut self, message: message::Message, now: Instant) {
+        match message {
+            message::Message::Enter(entry, reply) => self.enter(entry, reply, now),
+            message::Message::Leave(key, end, reply) => self.leave(key, end, reply, now),
+            message::Message::Lend(text, reply) => {
+                let loan = self.lend(&text);
+                if let Err(Some(loan)) = reply.send(loan) {
+                    self.take_back(loan.parent, untouched(loan.credit));
+                }
+            }
+            message::Message::Return(key, credit, executions) => {
+                self.take_back(key, tree::Tree { credit, executions });
+            }
+            message::Message::Target(target, Some(address)) => self.announce(target, address, now),
+            message::Message::Target(target, None) => self.retract(&target, now),
+            message::Message::Status(reply) => {
+                let _ = reply.send(self.status(now));
+            }
+        }
+    }
+
+    /// Drops requests that waited too long and calls that nobody ended.
+    pub fn tick(&mut self, now: Instant) {
+        let due: Vec<_> = self
+            .locals
+            .iter()
+            .filter(|(_, local)| local.wake().is_some_and(|wake| wake <= now))
+            .map(|(key, _)| key)
+            .collect();
+        for key in due {
+            self.dispatch(key, now);
+        }
+        if now >= self.next_sweep {
+            self.sweep(now);
+        }
+    }
+
+    /// When [`Self::tick`] is due.
+    pub fn wake(&self) -> Instant {
+        let expiries = self.locals.values().filter_map(local::Local::wake);
+        expiries.fold(self.next_sweep, Instant::min)
+    }
+
+    fn enter(&mut self, entry: Box<entry::Entry>, reply: Reply, now: Instant) {
+        let Some(key) = self.services.get(&entry.service).copied() else {
+            return self.deny_unserved(&entry, reply);
+        };
+        if self.locals[key].target.state == target::State::Draining {
+            return self.deny(key, &entry, reply, code::Code::Draining, now);
+        }
+        let loan = loan::Loan {
+            credit: entry.credit,
+            repeat: entry.repeat && self.charges_repeats,
+        };
+        let Some(account) = account::Account::open(loan) else {
+            return self.deny(key, &entry, reply, code::Code::RetryBudget, now);
+        };
+        let waiting = waiting::Waiting {
+            entry,
+            account,
+            reply,
+        };
+        let offer = self.locals[key].push(waiting, now);
+        self.settle(key, offer, now);
+        self.dispatch(key, now);
+    }
+
+    /// Refuses the request that had no place in the queue, if any.
+    fn settle(
+        &mut self,
+        key: local::LocalKey,
+        offer: offer::Offer<waiting::Waiting>,
+        now: Instant,
+    ) {
+        let (waiting, code) = match offer {
+            offer::Offer::Queued => return,
+            offer::Offer::Displaced(waiting, _) | offer::Offer::Full(waiting) => {
+                (waiting, code::Code::Overloaded)
+            }
+            offer::Offer::TooLate(waiting) => (waiting, code::Code::DeadlineExceeded),
+        };
+        self.deny(key, &waiting.entry, waiting.reply, code, now);
+    }
+
+    /// Drops what waited too long, then runs what the limit allows.
+    fn dispatch(&mut self, key: local::LocalKey, now: Instant) {
+        while let Some(waiting) = self.locals.get_mut(key).and_then(|local| local.expire(now)) {
+            let code = code::Code::Overloaded;
+            self.deny(key, &waiting.entry, waiting.reply, code, now);
+        }
+        while let Some(waiting) = self.locals.get_mut(key).and_then(|local| local.pop(now)) {
+            self.start(key, waiting, now);
+        }
+    }
+
+    fn start(&mut self, local: local::LocalKey, waiting: waiting::Waiting, now: Instant) {
+        let Some(random) = self.source.draw() else {
+            self.locals[local].ended(message::End::NotRun, now);
+            let code = code::Code::BufferFull;
+            return self.deny(local, &waiting.entry, waiting.reply, code, now);
+        };
+        let call = call::Call::new(local, waiting.entry, waiting.account, random.clone());
+        let key = self.calls.insert(call);
+        let permit = permit::Permit {
+            call: key,
+            context: context::encode(key, &random),
+            address: self.locals[local].address,
+        };
+        if waiting.reply.send(Ok(permit)).is_err() {
+            self.end(key, message::End::NotRun, now);
+        }
+    }
+
+    fn leave(
+        &mut self,
+        key: key::CallKey,
+        end: message::End,
+        reply: reply::Reply<summary::Summary>,
+        now: Instant,
+    ) {
+        let Some(call) = self.end(key, end, now) else {
+            // The call was swept; what its tree did is unknown.
+            let _ = reply.send(without_target(lost()));
+            return;
+        };
+        let tree = match end {
+            message::End::NotRun => untouched(call.credit()),
+            _ => call.account.close(),
+        };
+        let summary = match self.locals.get(call.local) {
+            Some(local) => local.summary(tree, now),
+            None => without_target(tree),
+        };
+        let _ = reply.send(summary);
+        self.dispatch(call.local, now);
+    }
+
+    /// Removes a call, which cancels its sub-calls.
+    fn end(&mut self, key: key::CallKey, end: message::End, now: Instant) -> Option<call::Call> {
+        let call = self.calls.remove(key)?;
+        if let Some(local) = self.locals.get_mut(call.local) {
+            local.ended(end, now);
+        }
+        Some(call)
+    }
+
+    fn lend(&mut self, text: &str) -> Option<origin::Loan> {
+        let (key, random) = context::decode(text)?;
+        let call = self.calls.get_mut(key)?;
+        call.matches(&random).then(|| call.lend(key))
+    }
+
+    fn take_back(&mut self, key: key::CallKey, tree: tree::Tree) {
+        if let Some(call) = self.calls.get_mut(key) {
+            call.account.take_back(tree);
+        }
+    }
+
+    fn announce(&mut self, target: target::Target, address: SocketAddr, now: Instant) {
+        if let Some(key) = self.services.get(&target.service).copied() {
+            self.locals[key].update(target, address);
+            return self.dispatch(key, now);
+        }
+        let service = target.service.clone();
+        let local = local::Local::new(target, address, self.queue_limit, now);
+        let key = self.locals.insert(local);
+        self.services.insert(service, key);
+    }
+
+    fn retract(&mut self, target: &target::Target, now: Instant) {
+        let Some(key) = self.services.remove(&target.service) else {
+            return;
+        };
+        for waiting in self.locals[key].drain() {
+            let code = code::Code::NoTarget;
+            self.deny(key, &waiting.entry, waiting.reply, code, now);
+        }
+        self.locals.remove(key);
+    }
+
+    fn status(&self, now: Instant) -> Vec<(target::Target, summary::Summary)> {
+        self.locals
+            .values()
+            .map(|local| (local.target.clone(), local.summary(untouched(0), now)))
+            .collect()
+    }
+
+    fn sweep(&mut self, now: Instant) {
+        self.next_sweep = now + SWEEP_INTERVAL;
+        let abandoned: Vec<_> = self
+            .calls
+            .iter()
+            .filter(|(_, call)| call.is_abandoned(now))
+            .map(|(key, call)| (key, call.local))
+            .collect();
+        for (key, local) in abandoned {
+            self.end(key, message::End::NotRun, now);
+            self.dispatch(local, now);
+        }
+    }
+
+    fn deny(
+        &self,
+        key: local::LocalKey,
+        entry: &entry::Entry,
+        reply: Reply,
+        code: code::Code,
+        now: Instant,
+    ) {
+        let summary = self.locals[key].summary(untouched(entry.credit), now);
+        self.send_denial(reply, code, summary);
+    }
+
+    fn deny_unserved(&self, entry: &entry::Entry, reply: Reply) {
+        let summary = without_target(untouched(entry.credit));
+        self.send_denial(reply, code::Code::NoTarget, summary);
+    }
+
+    fn send_denial(&self, reply: Reply, code: code::Code, summary: summary::Summary) {
+        self.counters.denied(code);
+        let refusal = refusal::Refusal::new(code, detail(code));
+        let _ = reply.send(Err((refusal, summary)));
+    }
+}
+
+/// A tree of which nothing ran.
+const fn untouched(credit: u8) -> tree::Tree {
+    tree::Tree {
+        credit,
+        executions: Some(0),
+    }
+}
+
+/// A tree of which nothing is known.
+const fn lost() -> tree::Tree {
+    tree::Tree {
+        credit: 0,
+        executions: None,
+    }
+}
+
+/// What goes back when the target is gone.
+const fn without_target(tree: tree::Tree) -> summary::Summary {
+    summary::Summary {
+        credit: tree.credit,
+        executions: tree.executions,
+        overload: level::ALL,
+        limit: 0,
+        in_flight: 0,
+    }
+}
+
+/// One sentence for the reader of the answer.
+const fn detail(code: code::Code) -> &'static str {
+    match code {
+        code::Code::Draining => "the target is leaving",
+        code::Code::RetryBudget => "the retry credit of the call tree is used up",
+        code::Code::Overloaded => "the target has no capacity for this priority",
+        code::Code::DeadlineExceeded => "the request could not end before its deadline",
+        code::Code::NoTarget => "no target of the service runs beside this node",
+        _ => "the request cannot run at present",
+    }
+}
--- /dev/null
+++ b/crates/node/src/event.rs
@@ -0,0 +1,44 @@
+//! What a service without sockets waits for.
+
+use std::time::Instant;
+
+use futures::FutureExt;
+use masticarch_kernel::{mailbox, stop};
+
+/// What a service without sockets waits for.
+#[derive(Debug)]
+pub enum Event<M> {
+    /// A message arrived.
+    Message(M),
+    /// The time to wake up has come.
+    Timer,
+    /// The service is asked to stop, or nobody can reach it any more.
+    Stop,
+}
+
+/// Waits for the next event; without `wake` there is no timer. Messages that
+/// have already arrived come first, which saves the cost of a timer for each.
+pub async fn next<M>(
+    mailbox: &mut mailbox::Mailbox<M>,
+    wake: Option<Instant>,
+    stop: &stop::Stop,
+) -> Event<M> {
+    if wake.is_some_and(|wake| wake <= Instant::now()) {
+        return Event::Timer;
+    }
+    if let Some(message) = mailbox.try_receive() {
+        return Event::Message(message);
+    }
+    futures::select_biased! {
+        message = mailbox.receive().fuse() => message.map_or(Event::Stop, Event::Message),
+        () = stop.wait().fuse() => Event::Stop,
+        () = until(wake).fuse() => Event::Timer,
+    }
+}
+
+async fn until(wake: Option<Instant>) {
+    match wake {
+        Some(wake) => monoio::time::sleep_until(wake.into()).await,
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/node/src/ledger/service.rs
@@ -0,0 +1,64 @@
+//! The ledger: owns the table of request ids of which this node is the home.
+
+use std::time::Instant;
+
+use masticarch_kernel::{mailbox, stop};
+use masticarch_model::code;
+use masticarch_policy::credit::{loan, tree};
+use masticarch_policy::ledger::{refusal as denial, table};
+
+use crate::ledger::message;
+use crate::{event, refusal};
+
+/// Runs the service until it is asked to stop.
+pub async fn run(mut mailbox: mailbox::Mailbox<message::Message>, stop: stop::Stop) {
+    let mut table = table::Table::default();
+    while let event::Event::Message(message) = event::next(&mut mailbox, None, &stop).await {
+        handle(&mut table, message, Instant::now());
+    }
+}
+
+fn handle(table: &mut table::Table, message: message::Message, now: Instant) {
+    match message {
+        message::Message::Begin {
+            id,
+            attempt,
+            credit,
+            deadline,
+            reply,
+        } => {
+            let outcome = table.begin(id, attempt, credit, deadline, now);
+            // The asker may have gone away; its attempt ends at its deadline.
+            let _ = reply.send(outcome.map(allowance).map_err(refuse));
+        }
+        message::Message::End {
+            id,
+            attempt,
+            credit,
+            executions,
+        } => {
+            let tree = tree::Tree { credit, executions };
+            table.end(&id, attempt, tree, now);
+        }
+    }
+}
+
+const fn allowance(loan: loan::Loan) -> message::Allowance {
+    message::Allowance {
+        credit: loan.credit,
+        repeat: loan.repeat,
+    }
+}
+
+fn refuse(denial: denial::Refusal) -> refusal::Refusal {
+    match denial {
+        denial::Refusal::StillRunning => refusal::Refusal::new(
+            code::Code::StillRunning,
+            "an earlier attempt with this request id still runs",
+        ),
+        denial::Refusal::Full => refusal::Refusal::new(
+            code::Code::LedgerUnavailable,
+            "the home node has no room for another request id",
+        ),
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod claims;
+pub mod event;
 pub mod gate;
 pub mod ledger;
 pub mod metrics;
