Add the gate service

Where a request enters the fleet, one task owns the directory, the shares of team limits, what is known of targets and the requests in flight. State of teams and targets has keys of its own, so that a new directory keeps what is known.

A report is taken once per attempt, since both Next and End may carry it.

--- /dev/null
+++ b/crates/node/src/gate/authority.rs
@@ -0,0 +1,59 @@
+//! Whether a request may use its route.
+
+use masticarch_model::{code, directory, name, secret};
+
+use crate::origin;
+
+/// The team for which a request runs; none on routes open to all.
+pub type Team = Option<directory::TeamKey>;
+
+/// Decides whether a request from `origin` may use `route`.
+///
+/// # Errors
+/// The code of the refusal.
+pub fn check(
+    directory: &directory::Directory,
+    route: &directory::Route,
+    origin: &origin::Origin,
+) -> Result<Team, code::Code> {
+    let Some(teams) = &route.teams else {
+        return Ok(None);
+    };
+    let team = match origin {
+        origin::Origin::Caller(text) => keyed(directory, text.as_deref())?,
+        origin::Origin::SubCall(loan) => inherited(directory, loan.team.as_ref())?,
+    };
+    if teams.contains(&team) {
+        Ok(Some(team))
+    } else {
+        Err(code::Code::WrongTeam)
+    }
+}
+
+/// The team of a presented key. A withdrawn key is named as such only to its
+/// holder, who knows the secret.
+fn keyed(
+    directory: &directory::Directory,
+    text: Option<&str>,
+) -> Result<directory::TeamKey, code::Code> {
+    let text = text.ok_or(code::Code::NoKey)?;
+    let secret = secret::Secret::parse(text).ok_or(code::Code::UnknownKey)?;
+    let credential = directory.credential(&secret.id);
+    let credential = credential.ok_or(code::Code::UnknownKey)?;
+    if !secret.matches(&credential.hash) {
+        return Err(code::Code::UnknownKey);
+    }
+    if credential.withdrawn {
+        return Err(code::Code::KeyWithdrawn);
+    }
+    Ok(credential.team)
+}
+
+/// The team of the root request.
+fn inherited(
+    directory: &directory::Directory,
+    team: Option<&name::Name>,
+) -> Result<directory::TeamKey, code::Code> {
+    let team = team.ok_or(code::Code::NoKey)?;
+    directory.team_named(team).ok_or(code::Code::WrongTeam)
+}
--- a/crates/node/src/gate/mod.rs
+++ b/crates/node/src/gate/mod.rs
@@ -2,8 +2,20 @@
 //! choice of a target and retries.
 
 pub mod admission;
+mod authority;
 pub mod choice;
 pub mod key;
 pub mod message;
+mod outlet;
+mod pending;
+mod remote;
+mod remotes;
 pub mod report;
+mod reports;
 pub mod request;
+mod running;
+pub mod service;
+mod state;
+mod team;
+mod teams;
+mod verdict;
--- /dev/null
+++ b/crates/node/src/gate/reports.rs
@@ -0,0 +1,51 @@
+//! When the next lease request is due.
+
+use std::time::{Duration, Instant};
+
+use masticarch_kernel::reply;
+use masticarch_wire::message::lease;
+
+/// Time between two lease requests when nothing is urgent.
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The lease task's question for reports, which waits until they are due.
+#[derive(Debug)]
+pub struct Reports {
+    asked: Option<reply::Reply<Vec<lease::Report>>>,
+    due: Instant,
+}
+
+impl Reports {
+    /// Nothing has been asked for; the first reports are due at once.
+    pub const fn new(now: Instant) -> Self {
+        Self {
+            asked: None,
+            due: now,
+        }
+    }
+
+    /// The lease task asks. An earlier question is dropped: its asker has gone.
+    pub fn ask(&mut self, reply: reply::Reply<Vec<lease::Report>>) {
+        self.asked = Some(reply);
+    }
+
+    /// Something should be reported at this moment already.
+    pub fn hasten(&mut self, at: Instant) {
+        self.due = self.due.min(at);
+    }
+
+    /// Takes the question when reports are due.
+    pub fn take_due(&mut self, now: Instant) -> Option<reply::Reply<Vec<lease::Report>>> {
+        if now < self.due {
+            return None;
+        }
+        let asked = self.asked.take()?;
+        self.due = now + RENEWAL_INTERVAL;
+        Some(asked)
+    }
+
+    /// When [`Self::take_due`] has a question; `None` when nobody asks.
+    pub fn wake(&self) -> Option<Instant> {
+        self.asked.as_ref().map(|_| self.due)
+    }
+}
--- /dev/null
+++ b/crates/node/src/gate/teams.rs
@@ -0,0 +1,160 @@
+//! The rates of all teams at this node.
+
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+use masticarch_model::{directory, map, name};
+use masticarch_policy::share::{Share, decision, holder};
+use masticarch_wire::message::lease;
+use slotmap::{SecondaryMap, SlotMap};
+
+use crate::gate::{pending, team};
+
+/// The rates of all teams at this node.
+#[derive(Debug, Default)]
+pub struct Teams {
+    arena: SlotMap<team::SlotKey, team::Team>,
+    names: map::Map<name::Name, team::SlotKey>,
+    slots: SecondaryMap<directory::TeamKey, team::SlotKey>,
+    wakes: BTreeSet<(Instant, team::SlotKey)>,
+}
+
+impl Teams {
+    /// Follows a new directory. Teams that it still has keep their shares;
+    /// returns the waiting requests of teams that are gone.
+    pub fn install(
+        &mut self,
+        directory: &directory::Directory,
+        now: Instant,
+    ) -> Vec<pending::Pending> {
+        self.slots.clear();
+        for (key, entry) in &directory.teams {
+            let slot = self.slot(&entry.name, now);
+            self.slots.insert(key, slot);
+        }
+        let gone: Vec<_> = self
+            .names
+            .iter()
+            .filter(|(name, _)| directory.team_named(name).is_none())
+            .map(|(_, slot)| *slot)
+            .collect();
+        gone.into_iter()
+            .flat_map(|slot| self.remove(slot))
+            .collect()
+    }
+
+    /// Decides on a request that may wait until `until`. Returns the decision
+    /// and from when on the owner should hear of the team, if it should.
+    pub fn request(
+        &mut self,
+        team: directory::TeamKey,
+        pending: pending::Pending,
+        until: Instant,
+        now: Instant,
+    ) -> (decision::Decision<pending::Pending>, Option<Instant>) {
+        let Some(slot) = self.slots.get(team).copied() else {
+            return (decision::Decision::Refuse(pending), None);
+        };
+        let holder = &mut self.arena[slot].holder;
+        let decision = holder.request(pending, until, now);
+        let urgent = holder.urgent_from(now);
+        if matches!(decision, decision::Decision::Wait) {
+            self.schedule(slot);
+        }
+        (decision, urgent)
+    }
+
+    /// Takes a request whose wait for a token has ended, one way or the other.
+    pub fn next(&mut self, now: Instant) -> Option<decision::Decision<pending::Pending>> {
+        while let Some((wake, slot)) = self.wakes.first().copied() {
+            if wake > now {
+                return None;
+            }
+            let decision = self.arena[slot].holder.next(now);
+            self.schedule(slot);
+            if !matches!(decision, decision::Decision::Wait) {
+                return Some(decision);
+            }
+        }
+        None
+    }
+
+    /// When [`Self::next`] is due.
+    pub fn wake(&self) -> Option<Instant> {
+        self.wakes.first().map(|(wake, _)| *wake)
+    }
+
+    /// The reports of all teams that are active or hold a share.
+    pub fn reports(&mut self, now: Instant) -> Vec<lease::Report> {
+        self.arena
+            .values_mut()
+            .filter(|team| !team.holder.is_idle(now))
+            .map(|team| report(team, now))
+            .collect()
+    }
+
+    /// Applies grants in answer to a request that was sent at `sent`.
+    pub fn granted(&mut self, grants: &[lease::Grant], sent: Instant, now: Instant) {
+        for grant in grants {
+            let Some(slot) = self.names.get(&grant.team).copied() else {
+                continue;
+            };
+            let share = Share {
+                rate_per_second: grant.share.rate,
+                burst: grant.share.burst,
+            };
+            let holder = &mut self.arena[slot].holder;
+            holder.grant(share, grant.tokens, sent, now);
+            self.schedule(slot);
+        }
+    }
+
+    fn slot(&mut self, name: &name::Name, now: Instant) -> team::SlotKey {
+        if let Some(slot) = self.names.get(name) {
+            return *slot;
+        }
+        let slot = self.arena.insert(team::Team {
+            name: name.clone(),
+            holder: holder::Holder::new(now),
+            wake: None,
+        });
+        self.names.insert(name.clone(), slot);
+        slot
+    }
+
+    fn remove(&mut self, slot: team::SlotKey) -> Vec<pending::Pending> {
+        let Some(mut team) = self.arena.remove(slot) else {
+            return Vec::new();
+        };
+        self.names.remove(&team.name);
+        if let Some(wake) = team.wake {
+            self.wakes.remove(&(wake, slot));
+        }
+        team.holder.drain().collect()
+    }
+
+    /// Sets the time at which a team is looked at next.
+    fn schedule(&mut self, slot: team::SlotKey) {
+        let team = &mut self.arena[slot];
+        if let Some(wake) = team.wake {
+            self.wakes.remove(&(wake, slot));
+        }
+        team.wake = team.holder.wake();
+        if let Some(wake) = team.wake {
+            self.wakes.insert((wake, slot));
+        }
+    }
+}
+
+fn report(team: &mut team::Team, now: Instant) -> lease::Report {
+    let report = team.holder.report(now);
+    lease::Report {
+        team: team.name.clone(),
+        held: lease::Share {
+            rate: report.held.rate_per_second,
+            burst: report.held.burst,
+        },
+        released: report.released,
+        demand: report.demand_per_second,
+    }
+}
