--- a/crates/node/src/admission/service.rs
+++ b/crates/node/src/admission/service.rs
@@ -1,119 +1,46 @@
-//! Stand-in for admission: lets every request run and keeps the running calls.
+//! Admission: owns the limits and queues of the targets beside this node and
+//! the calls that run.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Instant;
 
-use futures::channel::oneshot;
-use futures::future::{self, Either};
 use masticarch_kernel::{mailbox, stop};
-use masticarch_model::{code, map, name, target};
-use slotmap::{Key, SlotMap};
+use masticarch_policy::limit::{Limiter, adaptive, unlimited};
 
-use super::{entry, key, message, permit, summary};
-use crate::{metrics, options, origin, refusal};
+use crate::admission::{counters, message, state};
+use crate::{event, metrics, options};
 
-struct Running {
-    entry: entry::Entry,
-    ended: stop::Stop,
-    _alive: oneshot::Sender<()>,
-}
-
-#[derive(Default)]
-struct Admission {
-    targets: map::Map<name::Name, (target::Target, SocketAddr)>,
-    calls: SlotMap<key::CallKey, Running>,
-}
-
-/// Runs the service until asked to stop.
+/// Runs the service until it is asked to stop.
 pub async fn run(
-    mut mailbox: mailbox::Mailbox<message::Message>,
-    _options: Rc<options::Options>,
-    _metrics: metrics::Metrics,
+    mailbox: mailbox::Mailbox<message::Message>,
+    options: Rc<options::Options>,
+    metrics: metrics::Metrics,
     stop: stop::Stop,
 ) {
-    let mut admission = Admission::default();
-    let mut stopped = std::pin::pin!(stop.wait());
-    loop {
-        let next = std::pin::pin!(mailbox.receive());
-        match future::select(stopped.as_mut(), next).await {
-            Either::Right((Some(message), _)) => admission.handle(message),
-            _ => return,
-        }
+    let counters = match counters::Counters::new(&metrics) {
+        Ok(counters) => counters,
+        Err(error) => return tracing::error!(%error, "counters of admission not registered"),
+    };
+    let (queue_limit, now) = (options.queue_limit, Instant::now());
+    if options.decisions {
+        let state = state::State::<adaptive::Adaptive>::new(queue_limit, true, counters, now);
+        serve(mailbox, state, stop).await;
+    } else {
+        let state = state::State::<unlimited::Unlimited>::new(queue_limit, false, counters, now);
+        serve(mailbox, state, stop).await;
     }
 }
 
-impl Admission {
-    fn handle(&mut self, message: message::Message) {
-        match message {
-            message::Message::Enter(entry, reply) => {
-                let _ = reply.send(self.enter(*entry));
-            }
-            message::Message::Leave(key, _, reply) => {
-                let call = self.calls.remove(key);
-                let credit = call.map_or(0, |call| call.entry.credit);
-                let _ = reply.send(summary(credit));
-            }
-            message::Message::Lend(context, reply) => {
-                let _ = reply.send(self.lend(&context));
-            }
-            message::Message::Return(..) => {}
-            message::Message::Target(target, address) => {
-                self.targets.remove(&target.service);
-                if let Some(address) = address {
-                    let service = target.service.clone();
-                    self.targets.insert(service, (target, address));
-                }
-            }
-            message::Message::Status(reply) => {
-                let targets = self.targets.values();
-                let list = targets.map(|(target, _)| (target.clone(), summary(0)));
-                let _ = reply.send(list.collect());
-            }
+async fn serve<L: Limiter>(
+    mut mailbox: mailbox::Mailbox<message::Message>,
+    mut state: state::State<L>,
+    stop: stop::Stop,
+) {
+    loop {
+        match event::next(&mut mailbox, Some(state.wake()), &stop).await {
+            event::Event::Message(message) => state.handle(message, Instant::now()),
+            event::Event::Timer => state.tick(Instant::now()),
+            event::Event::Stop => return,
         }
     }
-
-    fn enter(&mut self, entry: entry::Entry) -> Result<permit::Permit, message::Denial> {
-        let Some((_, address)) = self.targets.get(&entry.service) else {
-            let refusal = refusal::Refusal::new(code::Code::NoTarget, "no such target here");
-            return Err((refusal, summary(entry.credit)));
-        };
-        let address = *address;
-        let (alive, ended) = stop::Stop::new();
-        let call = self.calls.insert(Running {
-            entry,
-            ended,
-            _alive: alive,
-        });
-        Ok(permit::Permit {
-            call,
-            context: format!("{:032x}", call.data().as_ffi()).into(),
-            address,
-        })
-    }
-
-    fn lend(&self, context: &str) -> Option<origin::Loan> {
-        let bits = u64::from_str_radix(context, 16).ok()?;
-        let parent = key::CallKey::from(slotmap::KeyData::from_ffi(bits));
-        let call = self.calls.get(parent)?;
-        Some(origin::Loan {
-            parent,
-            root: call.entry.root.clone(),
-            team: call.entry.team.clone(),
-            rank: call.entry.rank,
-            deadline: call.entry.deadline,
-            credit: 0,
-            repeat: call.entry.repeat,
-            ended: call.ended.clone(),
-        })
-    }
-}
-
-fn summary(credit: u8) -> summary::Summary {
-    summary::Summary {
-        credit,
-        executions: Some(1),
-        overload: u8::MAX,
-        limit: 1,
-        in_flight: 0,
-    }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod caller;
 pub mod claims;
 pub mod error;
+pub mod event;
 pub mod gate;
 pub mod leader;
 pub mod lease;
