--- /dev/null
+++ b/crates/agreement/src/agreement/election.rs
@@ -0,0 +1,131 @@
+//! Pre-vote and vote.
+
+use masticarch_model::member;
+
+use super::Agreement;
+use crate::{leader, message, outbox, payload, position, random, stage, tally, term};
+
+impl<R: random::Random> Agreement<R> {
+    /// Asks whether an election could succeed, without changing the term.
+    pub(super) fn start_pre_vote(&mut self) {
+        self.delay_election();
+        if !self.log.membership().is_voter(self.id) {
+            self.become_follower(None);
+            return;
+        }
+        let mut tally = tally::Tally::default();
+        tally.grant(self.id);
+        self.stage = stage::Stage::PreCandidate(tally);
+        let last = self.log.last();
+        self.send_voters(|agreement, to| agreement.send(to, message::Body::PreVote { last }));
+        self.finish_pre_vote();
+    }
+
+    pub(super) fn on_pre_vote(
+        &mut self,
+        from: member::Id,
+        term: term::Term,
+        last: position::Position,
+    ) {
+        let asked = term.next();
+        let granted = asked > self.vote.term && last >= self.log.last() && !self.has_leader();
+        self.send(from, message::Body::PreVoteReply { asked, granted });
+    }
+
+    pub(super) fn on_pre_vote_reply(&mut self, from: member::Id, asked: term::Term, granted: bool) {
+        if !granted || asked != self.vote.term.next() {
+            return;
+        }
+        if let stage::Stage::PreCandidate(tally) = &mut self.stage {
+            tally.grant(from);
+            self.finish_pre_vote();
+        }
+    }
+
+    pub(super) fn on_vote(&mut self, from: member::Id, last: position::Position) {
+        let free = self
+            .vote
+            .candidate
+            .is_none_or(|candidate| candidate == from);
+        let granted = free && last >= self.log.last();
+        if granted && self.vote.candidate.is_none() {
+            self.set_vote(self.vote.term, Some(from));
+        }
+        if granted {
+            self.delay_election();
+        }
+        self.send_durable(from, message::Body::VoteReply { granted });
+    }
+
+    pub(super) fn on_vote_reply(&mut self, from: member::Id, granted: bool) {
+        if let stage::Stage::Candidate(tally) = &mut self.stage
+            && granted
+        {
+            tally.grant(from);
+            self.finish_vote();
+        }
+    }
+
+    /// Counts this member's vote for itself, now that it is durable.
+    pub(super) fn count_own_vote(&mut self, term: term::Term) {
+        if term != self.vote.term {
+            return;
+        }
+        if let stage::Stage::Candidate(tally) = &mut self.stage {
+            tally.grant(self.id);
+            self.finish_vote();
+        }
+    }
+
+    /// Whether a leader was heard from so lately that no election is called
+    /// for, or this member leads itself.
+    fn has_leader(&self) -> bool {
+        let limit = self.options.election_min;
+        let recent = self
+            .heard
+            .is_some_and(|heard| self.now.saturating_sub(heard) < limit);
+        recent || matches!(self.stage, stage::Stage::Leader(_))
+    }
+
+    fn finish_pre_vote(&mut self) {
+        if let stage::Stage::PreCandidate(tally) = &self.stage
+            && tally.is_won(self.log.membership())
+        {
+            self.start_vote();
+        }
+    }
+
+    fn start_vote(&mut self) {
+        self.set_vote(self.vote.term.next(), Some(self.id));
+        self.stage = stage::Stage::Candidate(tally::Tally::default());
+        self.delay_election();
+        self.outbox.defer(outbox::Deferred::OwnVote(self.vote.term));
+        let last = self.log.last();
+        self.send_voters(|agreement, to| agreement.send_durable(to, message::Body::Vote { last }));
+    }
+
+    fn finish_vote(&mut self) {
+        if let stage::Stage::Candidate(tally) = &self.stage
+            && tally.is_won(self.log.membership())
+        {
+            self.start_leading();
+        }
+    }
+
+    /// Becomes the leader. The empty entry lets it commit what earlier leaders
+    /// left behind, which Raft allows only together with an entry of its term.
+    fn start_leading(&mut self) {
+        let leader = leader::Leader::new(self.id, &self.log, self.now);
+        self.stage = stage::Stage::Leader(leader);
+        self.assembly = None;
+        self.append_own(payload::Payload::Empty);
+    }
+
+    fn send_voters(&mut self, mut send: impl FnMut(&mut Self, member::Id)) {
+        let own = self.id;
+        let voters: Vec<_> = self.log.membership().voters().collect();
+        for to in voters.into_iter().filter(|id| *id != own) {
+            send(self, to);
+        }
+    }
+}
--- /dev/null
+++ b/crates/agreement/src/agreement/leading.rs
@@ -0,0 +1,144 @@
+//! What a leader does.
+
+use masticarch_model::member;
+
+use super::Agreement;
+use crate::{entry, index, leader, message, payload, position, random, refusal, stage, ticket};
+
+impl<R: random::Random> Agreement<R> {
+    /// Sends heartbeats, and steps down when no majority was heard from.
+    pub(super) fn tick_leader(&mut self) {
+        let limit = self.options.election_max;
+        let stage::Stage::Leader(leader) = &mut self.stage else {
+            return;
+        };
+        if !leader.has_majority(self.log.membership(), self.now, limit) {
+            self.become_follower(None);
+            return;
+        }
+        if self.now >= leader.heartbeat_due {
+            leader.heartbeat_due = self.now + self.options.heartbeat;
+            leader.retry();
+            let outgoing = leader.heartbeat(self.commit);
+            self.send_all(outgoing);
+        }
+    }
+
+    /// Takes the answer of a member to a message of this leader.
+    pub(super) fn on_reply(&mut self, from: member::Id, body: &message::Body) {
+        let now = self.now;
+        let Some(leader) = self.stage.leader_mut() else {
+            return;
+        };
+        let Some(member) = leader.find_mut(from) else {
+            return;
+        };
+        member.heard = now;
+        match *body {
+            message::Body::Appended { matched } => member.appended(matched),
+            message::Body::Rejected { previous, last } => member.rejected(previous, last),
+            message::Body::HeartbeatReply { round } => member.round = member.round.max(round),
+            message::Body::ChunkReply { index, received } => member.received(index, received),
+            _ => {}
+        }
+    }
+
+    /// Brings everything a leader does after inputs up to date: commit index,
+    /// rounds and messages to the members.
+    pub(super) fn lead(&mut self) {
+        let stage::Stage::Leader(leader) = &mut self.stage else {
+            return;
+        };
+        let agreed = leader.majority_index(&self.log);
+        let own_term = self.log.term_at(agreed) == Some(self.vote.term);
+        if own_term && agreed > self.commit {
+            self.commit = agreed;
+        }
+        leader.count_rounds(self.log.membership());
+        if leader.rounds.is_due() {
+            let outgoing = leader.heartbeat(self.commit);
+            self.send_all(outgoing);
+        }
+        self.replicate();
+        self.leave_if_removed();
+    }
+
+    /// Takes the tickets that a majority has confirmed. They wait until the
+    /// leader has committed an entry of its own term, because before that its
+    /// commit index may lag behind what was acknowledged by its predecessor.
+    pub(super) fn take_confirmed(&mut self) -> Vec<ticket::Confirmation> {
+        let index = self.commit;
+        if self.require_own_commit().is_err() {
+            return Vec::new();
+        }
+        let Some(leader) = self.stage.leader_mut() else {
+            return Vec::new();
+        };
+        leader.count_rounds(self.log.membership());
+        let finished = leader.rounds.take_finished().into_iter();
+        finished
+            .map(|ticket| ticket::Confirmation { ticket, index })
+            .collect()
+    }
+
+    /// Appends an entry of this leader's term.
+    pub(super) fn append_own(&mut self, payload: payload::Payload) -> position::Position {
+        let position = position::Position {
+            term: self.vote.term,
+            index: self.log.last().index.next(),
+        };
+        let members = matches!(payload, payload::Payload::Members(_));
+        self.log.push(entry::Entry { position, payload });
+        self.outbox.mark_dirty();
+        if let stage::Stage::Leader(leader) = &mut self.stage
+            && members
+        {
+            leader.follow(&self.log, self.now);
+        }
+        position
+    }
+
+    /// Refuses until an entry of this leader's term is committed. Without this
+    /// rule two leaders could change the members by one each and end up with
+    /// majorities that do not overlap.
+    pub(super) fn require_own_commit(&self) -> Result<(), refusal::Refusal> {
+        if self.log.term_at(self.commit) == Some(self.vote.term) {
+            return Ok(());
+        }
+        Err(refusal::Refusal::NotReady)
+    }
+
+    pub(super) fn require_caught_up(&mut self, id: member::Id) -> Result<(), refusal::Refusal> {
+        let last = self.log.last().index;
+        let lag = self.options.promotion_lag;
+        let leader = self.stage.leader_mut();
+        let member = leader.and_then(|leader| leader.find_mut(id));
+        let member = member.ok_or(refusal::Refusal::UnknownMember)?;
+        let reached = index::Index(member.matched.0 + lag);
+        if member.matched > index::Index(0) && reached >= last {
+            return Ok(());
+        }
+        Err(refusal::Refusal::NotCaughtUp)
+    }
+
+    fn replicate(&mut self) {
+        if let stage::Stage::Leader(leader) = &mut self.stage {
+            let outgoing = leader.replicate(&self.log, self.commit, &self.options);
+            self.send_all(outgoing);
+        }
+    }
+
+    /// Steps down once this leader's own removal is committed.
+    fn leave_if_removed(&mut self) {
+        let settled = self.log.membership_index() <= self.commit;
+        if settled && !self.log.membership().is_voter(self.id) {
+            self.become_follower(None);
+        }
+    }
+
+    fn send_all(&mut self, outgoing: Vec<leader::Outgoing>) {
+        for leader::Outgoing { to, body } in outgoing {
+            self.send(to, body);
+        }
+    }
+}
--- /dev/null
+++ b/crates/agreement/src/agreement/mod.rs
@@ -0,0 +1,387 @@
+//! The state machine of one member.
+
+mod election;
+mod following;
+mod leading;
+
+use std::time::Duration;
+
+use masticarch_model::member;
+
+use crate::{
+    assembly, change, effects, entry, index, log, membership, message, options, outbox, payload,
+    position, random, recovered, refusal, role, sequence, snapshot, stage, status, term, ticket,
+    vote, write,
+};
+
+/// The consensus state of one member.
+///
+/// After any input the caller takes the [`effects::Effects`], carries them out,
+/// and reports finished writes by [`Agreement::persisted`]. Inputs given
+/// between two calls of [`Agreement::effects`] share one write and one message
+/// to each member.
+#[derive(Debug)]
+pub struct Agreement<R> {
+    id: member::Id,
+    options: options::Options,
+    random: R,
+    now: Duration,
+    vote: vote::Vote,
+    vote_dirty: bool,
+    snapshot_dirty: bool,
+    log: log::Log,
+    outbox: outbox::Outbox,
+    stage: stage::Stage,
+    commit: index::Index,
+    /// Last entry handed to the caller.
+    emitted: index::Index,
+    election_due: Duration,
+    /// When a leader was last heard from, if ever.
+    heard: Option<Duration>,
+    assembly: Option<assembly::Assembly>,
+    next_ticket: u64,
+    reported: Option<status::Status>,
+    installed: Option<snapshot::Snapshot>,
+    refused: Vec<ticket::Ticket>,
+}
+
+impl<R: random::Random> Agreement<R> {
+    /// Starts a member from what it has persisted.
+    ///
+    /// The first effects hand the recovered snapshot back to the caller. `now`
+    /// is the time since any fixed moment, from a clock that never goes back.
+    pub fn new(
+        id: member::Id,
+        options: options::Options,
+        recovered: recovered::Recovered,
+        random: R,
+        now: Duration,
+    ) -> Self {
+        let vote = recovered.vote;
+        let snapshot = recovered.snapshot.clone();
+        let start = snapshot.meta.position.index;
+        let mut agreement = Self {
+            id,
+            options,
+            random,
+            now,
+            vote,
+            vote_dirty: false,
+            snapshot_dirty: false,
+            log: log::Log::new(recovered),
+            outbox: outbox::Outbox::default(),
+            stage: stage::Stage::Follower(None),
+            commit: start,
+            emitted: start,
+            election_due: now,
+            heard: None,
+            assembly: None,
+            next_ticket: 0,
+            reported: None,
+            installed: (start > index::Index(0)).then_some(snapshot),
+            refused: Vec::new(),
+        };
+        agreement.delay_election();
+        agreement
+    }
+
+    /// Lets time pass: elections, heartbeats, and stepping down without a
+    /// majority.
+    pub fn tick(&mut self, now: Duration) {
+        self.now = self.now.max(now);
+        if matches!(self.stage, stage::Stage::Leader(_)) {
+            self.tick_leader();
+        } else if self.now >= self.election_due {
+            self.start_pre_vote();
+        }
+    }
+
+    /// When [`Agreement::tick`] should next be called at the latest.
+    #[must_use]
+    pub fn deadline(&self) -> Duration {
+        match &self.stage {
+            stage::Stage::Leader(leader) => leader.heartbeat_due,
+            _ => self.election_due,
+        }
+    }
+
+    /// Takes a message from another member.
+    pub fn receive(&mut self, now: Duration, message: message::Message) {
+        self.now = self.now.max(now);
+        if message.to != self.id || message.from == self.id {
+            return;
+        }
+        if message.term > self.vote.term && Self::binds(&message.body) {
+            self.adopt(message.term);
+        }
+        if message.term < self.vote.term && !self.answers_outdated(&message) {
+            return;
+        }
+        self.dispatch(message);
+    }
+
+    /// Appends a command to the log, if this member leads. The command is
+    /// accepted once [`effects::Effects::committed`] has an entry at the
+    /// returned position; another entry at that index means that it was lost.
+    ///
+    /// # Errors
+    /// [`refusal::Refusal::NotLeader`] or [`refusal::Refusal::Busy`].
+    pub fn propose(&mut self, command: Vec<u8>) -> Result<position::Position, refusal::Refusal> {
+        self.require_leader()?;
+        if self.log.last().index.0 - self.commit.0 >= self.options.uncommitted {
+            return Err(refusal::Refusal::Busy);
+        }
+        Ok(self.append_own(payload::Payload::Command(command)))
+    }
+
+    /// Appends a change of members, if this member leads. It holds from the
+    /// moment it is in the log, and is final once it is committed.
+    ///
+    /// # Errors
+    /// Any [`refusal::Refusal`] but `Busy`.
+    pub fn change(
+        &mut self,
+        change: change::Change,
+    ) -> Result<position::Position, refusal::Refusal> {
+        self.require_leader()?;
+        self.require_own_commit()?;
+        if self.log.membership_index() > self.commit {
+            return Err(refusal::Refusal::ChangePending);
+        }
+        if let change::Change::Promote(id) = &change {
+            self.require_caught_up(*id)?;
+        }
+        let membership = self.log.membership().with(change)?;
+        Ok(self.append_own(payload::Payload::Members(membership)))
+    }
+
+    /// Draws a ticket that resolves once a majority has answered a round of
+    /// heartbeats begun after this call.
+    ///
+    /// # Errors
+    /// [`refusal::Refusal::NotLeader`].
+    pub fn confirm(&mut self) -> Result<ticket::Ticket, refusal::Refusal> {
+        self.require_leader()?;
+        let ticket = ticket::Ticket(self.next_ticket);
+        self.next_ticket += 1;
+        if let Some(leader) = self.stage.leader_mut() {
+            leader.rounds.wait(ticket);
+        }
+        Ok(ticket)
+    }
+
+    /// Takes the report that all writes up to a number are durable.
+    pub fn persisted(&mut self, sequence: sequence::Sequence) {
+        for deferred in self.outbox.persisted(sequence) {
+            match deferred {
+                outbox::Deferred::Send(message) => self.outbox.send(message),
+                outbox::Deferred::Durable(index) => self.log.persisted(index),
+                outbox::Deferred::OwnVote(term) => self.count_own_vote(term),
+                outbox::Deferred::Install(snapshot) => self.hand_over(snapshot),
+            }
+        }
+    }
+
+    /// Takes a snapshot of the caller's state, which must include exactly the
+    /// entries up to `index`. Returns false when `index` was not handed out
+    /// yet, or is not newer than the present snapshot.
+    pub fn compact(&mut self, index: index::Index, data: &[u8]) -> bool {
+        let known = index <= self.emitted;
+        let taken = known && self.log.compact(index, data, self.options.retained);
+        if taken {
+            self.snapshot_dirty = true;
+            self.outbox.mark_dirty();
+        }
+        taken
+    }
+
+    /// Takes everything the caller must carry out since the last call.
+    pub fn effects(&mut self) -> effects::Effects {
+        self.lead();
+        let write = self.take_write();
+        let status = self.status();
+        let changed = self.reported != Some(status);
+        self.reported = Some(status);
+        let installed = self.installed.take();
+        effects::Effects {
+            write,
+            messages: self.outbox.take_ready(),
+            installed,
+            committed: self.take_committed(),
+            confirmed: self.take_confirmed(),
+            refused: std::mem::take(&mut self.refused),
+            status: changed.then_some(status),
+        }
+    }
+
+    /// Role, term and known leader.
+    #[must_use]
+    pub fn status(&self) -> status::Status {
+        let leader = match &self.stage {
+            stage::Stage::Leader(_) => Some(self.id),
+            stage::Stage::Follower(leader) => *leader,
+            _ => None,
+        };
+        status::Status {
+            role: self.stage.role(),
+            term: self.vote.term,
+            leader,
+        }
+    }
+
+    /// The newest membership in the log.
+    #[must_use]
+    pub fn membership(&self) -> &membership::Membership {
+        self.log.membership()
+    }
+
+    /// Index up to which the log is committed, as far as this member knows.
+    #[must_use]
+    pub fn commit(&self) -> index::Index {
+        self.commit
+    }
+
+    /// Whether a message of a later term changes the receiver's term. Questions
+    /// of [`message::Body::PreVote`] must not, or a member that was cut off
+    /// would depose the leader on its return.
+    fn binds(body: &message::Body) -> bool {
+        !matches!(body, message::Body::PreVote { .. })
+    }
+
+    /// Deals with a message of an earlier term. Returns whether it must still
+    /// be handled.
+    fn answers_outdated(&mut self, message: &message::Message) -> bool {
+        match message.body {
+            message::Body::PreVote { .. } | message::Body::PreVoteReply { .. } => true,
+            message::Body::Append { .. }
+            | message::Body::Heartbeat { .. }
+            | message::Body::Vote { .. }
+            | message::Body::Chunk { .. } => {
+                self.send(message.from, message::Body::Outdated);
+                false
+            }
+            _ => false,
+        }
+    }
+
+    fn dispatch(&mut self, message: message::Message) {
+        let from = message.from;
+        match message.body {
+            message::Body::PreVote { last } => self.on_pre_vote(from, message.term, last),
+            message::Body::PreVoteReply { asked, granted } => {
+                self.on_pre_vote_reply(from, asked, granted);
+            }
+            message::Body::Vote { last } => self.on_vote(from, last),
+            message::Body::VoteReply { granted } => self.on_vote_reply(from, granted),
+            message::Body::Append {
+                previous,
+                entries,
+                commit,
+            } => self.on_append(from, previous, entries, commit),
+            message::Body::Heartbeat { round, commit } => self.on_heartbeat(from, round, commit),
+            message::Body::Chunk {
+                meta,
+                offset,
+                total,
+                data,
+            } => self.on_chunk(from, meta, offset, total, &data),
+            body => self.on_reply(from, &body),
+        }
+    }
+
+    /// Moves to a later term, without a vote in it.
+    fn adopt(&mut self, term: term::Term) {
+        self.set_vote(term, None);
+        self.become_follower(None);
+    }
+
+    fn set_vote(&mut self, term: term::Term, candidate: Option<member::Id>) {
+        self.vote = vote::Vote { term, candidate };
+        self.vote_dirty = true;
+        self.outbox.mark_dirty();
+    }
+
+    fn become_follower(&mut self, leader: Option<member::Id>) {
+        if let Some(leading) = self.stage.leader_mut() {
+            self.refused.extend(leading.rounds.take_all());
+            self.delay_election();
+        }
+        self.stage = stage::Stage::Follower(leader);
+    }
+
+    /// Draws the time of the next election at random, so that members rarely
+    /// stand for election at once.
+    fn delay_election(&mut self) {
+        let min = self.options.election_min;
+        let spread = self.options.election_max.saturating_sub(min).as_micros();
+        let spread = u64::try_from(spread).unwrap_or(u64::MAX - 1);
+        let extra = self.random.below(spread + 1);
+        self.election_due = self.now + min + Duration::from_micros(extra);
+    }
+
+    fn message(&self, to: member::Id, body: message::Body) -> message::Message {
+        message::Message {
+            from: self.id,
+            to,
+            term: self.vote.term,
+            body,
+        }
+    }
+
+    fn send(&mut self, to: member::Id, body: message::Body) {
+        let message = self.message(to, body);
+        self.outbox.send(message);
+    }
+
+    fn send_durable(&mut self, to: member::Id, body: message::Body) {
+        let message = self.message(to, body);
+        self.outbox.send_durable(message);
+    }
+
+    fn take_write(&mut self) -> Option<write::Write> {
+        let sequence = self.outbox.issue()?;
+        let entries = self.log.take_unwritten();
+        if let Some(last) = entries.last() {
+            let durable = outbox::Deferred::Durable(last.position.index);
+            self.outbox.defer(durable);
+        }
+        let snapshot = std::mem::take(&mut self.snapshot_dirty);
+        let vote = std::mem::take(&mut self.vote_dirty);
+        Some(write::Write {
+            sequence,
+            vote: vote.then_some(self.vote),
+            truncate: self.log.take_truncated(),
+            snapshot: snapshot.then(|| self.log.snapshot().clone()),
+            entries,
+        })
+    }
+
+    /// Takes the entries that are committed and durable here. Waiting for the
+    /// local disk keeps the caller's snapshots behind the local log.
+    fn take_committed(&mut self) -> Vec<entry::Entry> {
+        let end = self.commit.min(self.log.durable());
+        let mut committed = Vec::new();
+        while self.emitted < end {
+            self.emitted = self.emitted.next();
+            committed.extend(self.log.get(self.emitted).cloned());
+        }
+        committed
+    }
+
+    fn hand_over(&mut self, snapshot: snapshot::Snapshot) {
+        let index = snapshot.meta.position.index;
+        self.log.persisted(index);
+        if index > self.emitted {
+            self.emitted = index;
+            self.installed = Some(snapshot);
+        }
+    }
+
+    fn require_leader(&self) -> Result<(), refusal::Refusal> {
+        let status = self.status();
+        if status.role == role::Role::Leader {
+            return Ok(());
+        }
+        Err(refusal::Refusal::NotLeader(status.leader))
+    }
+}
--- /dev/null
+++ b/crates/agreement/src/leader.rs
@@ -0,0 +1,223 @@
+//! What a leader keeps, and what it sends to the members.
+
+use std::time::Duration;
+
+use masticarch_model::member;
+
+use crate::{index, log, membership, message, options, progress, rounds};
+
+/// A message body with its receiver.
+#[derive(Debug)]
+pub struct Outgoing {
+    /// The receiver.
+    pub to: member::Id,
+    /// What to send.
+    pub body: message::Body,
+}
+
+/// State that a member has only while it leads.
+#[derive(Debug)]
+pub struct Leader {
+    own: member::Id,
+    members: Vec<progress::Progress>,
+    /// Rounds of confirmation.
+    pub rounds: rounds::Rounds,
+    /// When the next heartbeat is due.
+    pub heartbeat_due: Duration,
+}
+
+impl Leader {
+    /// Starts to lead; the first heartbeat is due at once.
+    pub fn new(own: member::Id, log: &log::Log, now: Duration) -> Self {
+        let mut leader = Self {
+            own,
+            members: Vec::new(),
+            rounds: rounds::Rounds::default(),
+            heartbeat_due: now,
+        };
+        leader.follow(log, now);
+        leader
+    }
+
+    /// Takes over the newest membership of the log.
+    pub fn follow(&mut self, log: &log::Log, now: Duration) {
+        let membership = log.membership();
+        self.members
+            .retain(|progress| membership.find(progress.id).is_some());
+        for member in membership.iter().filter(|member| member.id != self.own) {
+            if self.find(member.id).is_none() {
+                let progress = progress::Progress::new(member.id, log.last().index, now);
+                self.members.push(progress);
+            }
+        }
+    }
+
+    /// What is known of a member.
+    pub fn find(&self, id: member::Id) -> Option<&progress::Progress> {
+        self.members.iter().find(|progress| progress.id == id)
+    }
+
+    /// What is known of a member, for changes.
+    pub fn find_mut(&mut self, id: member::Id) -> Option<&mut progress::Progress> {
+        self.members.iter_mut().find(|progress| progress.id == id)
+    }
+
+    /// Index that a majority holds durably.
+    pub fn majority_index(&self, log: &log::Log) -> index::Index {
+        log.membership().majority_value(|id| {
+            if id == self.own {
+                return log.durable();
+            }
+            self.find(id)
+                .map_or(index::Index(0), |member| member.matched)
+        })
+    }
+
+    /// Whether a majority was heard from within `limit`.
+    pub fn has_majority(
+        &self,
+        membership: &membership::Membership,
+        now: Duration,
+        limit: Duration,
+    ) -> bool {
+        membership.majority(|id| {
+            let heard = self.find(id).map(|member| member.heard);
+            id == self.own || heard.is_some_and(|heard| now.saturating_sub(heard) <= limit)
+        })
+    }
+
+    /// Finishes the rounds that a majority has answered.
+    pub fn count_rounds(&mut self, membership: &membership::Membership) {
+        let started = self.rounds.started();
+        let round = membership.majority_value(|id| {
+            if id == self.own {
+                return started;
+            }
+            self.find(id).map_or(0, |member| member.round)
+        });
+        self.rounds.finish(round);
+    }
+
+    /// Starts a round: a heartbeat to every member.
+    pub fn heartbeat(&mut self, commit: index::Index) -> Vec<Outgoing> {
+        let round = self.rounds.start();
+        let beat = |member: &progress::Progress| Outgoing {
+            to: member.id,
+            body: message::Body::Heartbeat {
+                round,
+                commit: commit.min(member.matched),
+            },
+        };
+        self.members.iter().map(beat).collect()
+    }
+
+    /// Arranges that what may have been lost is sent again.
+    pub fn retry(&mut self) {
+        self.members.iter_mut().for_each(progress::Progress::retry);
+    }
+
+    /// What every member should receive next.
+    pub fn replicate(
+        &mut self,
+        log: &log::Log,
+        commit: index::Index,
+        options: &options::Options,
+    ) -> Vec<Outgoing> {
+        let mut sender = Sender {
+            log,
+            commit,
+            options,
+            outgoing: Vec::new(),
+        };
+        for member in &mut self.members {
+            sender.serve(member);
+        }
+        sender.outgoing
+    }
+}
+
+/// Collects what members should receive.
+struct Sender<'a> {
+    log: &'a log::Log,
+    commit: index::Index,
+    options: &'a options::Options,
+    outgoing: Vec<Outgoing>,
+}
+
+impl Sender<'_> {
+    fn serve(&mut self, member: &mut progress::Progress) {
+        if self.log.term_at(member.next.previous()).is_none() {
+            self.start_transfer(member);
+        }
+        match member.mode {
+            progress::Mode::Probe { waiting: false } => {
+                self.append(member);
+                member.mode = progress::Mode::Probe { waiting: true };
+            }
+            progress::Mode::Replicate => self.stream(member),
+            progress::Mode::Transfer { waiting: false, .. } => self.chunk(member),
+            _ => {}
+        }
+    }
+
+    fn stream(&mut self, member: &mut progress::Progress) {
+        let last = self.log.last().index;
+        let limit = member.matched.0 + self.options.window;
+        while member.next <= last && member.next.0 <= limit {
+            member.next = self.append(member);
+        }
+    }
+
+    /// Sends one batch and returns the index after it.
+    fn append(&mut self, member: &progress::Progress) -> index::Index {
+        let index = member.next.previous();
+        let term = self.log.term_at(index).unwrap_or_default();
+        let entries = self.log.batch(member.next, self.options.batch_bytes);
+        let end = entries.last().map_or(index, |last| last.position.index);
+        let body = message::Body::Append {
+            previous: crate::position::Position { term, index },
+            entries,
+            commit: self.commit,
+        };
+        self.send(member.id, body);
+        end.next()
+    }
+
+    fn start_transfer(&mut self, member: &mut progress::Progress) {
+        let index = self.log.snapshot().meta.position.index;
+        let current =
+            matches!(member.mode, progress::Mode::Transfer { index: of, .. } if of == index);
+        if !current {
+            member.mode = progress::Mode::Transfer {
+                index,
+                received: 0,
+                waiting: false,
+            };
+        }
+    }
+
+    fn chunk(&mut self, member: &mut progress::Progress) {
+        let progress::Mode::Transfer {
+            received, waiting, ..
+        } = &mut member.mode
+        else {
+            return;
+        };
+        *waiting = true;
+        let snapshot = self.log.snapshot();
+        let start = usize::try_from(*received).unwrap_or(usize::MAX);
+        let start = start.min(snapshot.data.len());
+        let end = (start + self.options.chunk_bytes).min(snapshot.data.len());
+        let body = message::Body::Chunk {
+            meta: snapshot.meta.clone(),
+            offset: start as u64,
+            total: snapshot.data.len() as u64,
+            data: snapshot.data[start..end].to_vec(),
+        };
+        self.send(member.id, body);
+    }
+
+    fn send(&mut self, to: member::Id, body: message::Body) {
+        self.outgoing.push(Outgoing { to, body });
+    }
+}
--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -1,1 +1,36 @@
-//! agreement
+//! Consensus on the replicated log of the control group: Raft as a pure state
+//! machine.
+//!
+//! [`agreement::Agreement`] takes inputs (time, messages, proposals, reports of
+//! finished writes) and collects [`effects::Effects`] for its caller to carry
+//! out. It does no I/O, reads no clock and draws no randomness of its own.
+
+pub mod agreement;
+mod assembly;
+pub mod change;
+pub mod effects;
+pub mod entry;
+pub mod index;
+mod leader;
+mod log;
+pub mod membership;
+pub mod message;
+pub mod options;
+mod outbox;
+pub mod payload;
+pub mod position;
+mod progress;
+pub mod random;
+pub mod recovered;
+pub mod refusal;
+pub mod role;
+mod rounds;
+pub mod sequence;
+pub mod snapshot;
+mod stage;
+pub mod status;
+mod tally;
+pub mod term;
+pub mod ticket;
+pub mod vote;
+pub mod write;
--- /dev/null
+++ b/crates/agreement/src/log.rs
@@ -0,0 +1,213 @@
+//! The log in memory.
+
+use std::collections::VecDeque;
+
+use crate::{entry, index, membership, payload, position, recovered, snapshot, term};
+
+/// The entries after a base, with what is known of their durability.
+#[derive(Debug)]
+pub struct Log {
+    base: position::Position,
+    entries: VecDeque<entry::Entry>,
+    /// Memberships with the index from which each holds; never empty.
+    memberships: Vec<(index::Index, membership::Membership)>,
+    snapshot: snapshot::Snapshot,
+    durable: index::Index,
+    /// First entry that no write contains yet.
+    unwritten: index::Index,
+    /// Lowest index removed since the last write.
+    truncated: Option<index::Index>,
+}
+
+impl Log {
+    /// Makes the log that a member has persisted.
+    pub fn new(recovered: recovered::Recovered) -> Self {
+        let mut log = Self::after(recovered.snapshot);
+        for entry in recovered.entries {
+            log.push(entry);
+        }
+        log.durable = log.last().index;
+        log.unwritten = log.durable.next();
+        log
+    }
+
+    fn after(snapshot: snapshot::Snapshot) -> Self {
+        let base = snapshot.meta.position;
+        Self {
+            base,
+            entries: VecDeque::new(),
+            memberships: vec![(base.index, snapshot.meta.membership.clone())],
+            snapshot,
+            durable: base.index,
+            unwritten: base.index.next(),
+            truncated: None,
+        }
+    }
+
+    /// Position of the last entry.
+    pub fn last(&self) -> position::Position {
+        self.entries.back().map_or(self.base, |last| last.position)
+    }
+
+    /// The newest snapshot.
+    pub fn snapshot(&self) -> &snapshot::Snapshot {
+        &self.snapshot
+    }
+
+    /// Index up to which the log is durable.
+    pub fn durable(&self) -> index::Index {
+        self.durable
+    }
+
+    /// The newest membership in the log, committed or not.
+    pub fn membership(&self) -> &membership::Membership {
+        &self.memberships[self.memberships.len() - 1].1
+    }
+
+    /// Index of the entry that brought the newest membership.
+    pub fn membership_index(&self) -> index::Index {
+        self.memberships[self.memberships.len() - 1].0
+    }
+
+    /// Term of the entry at an index, if the log still knows it.
+    pub fn term_at(&self, index: index::Index) -> Option<term::Term> {
+        if index == self.base.index {
+            return Some(self.base.term);
+        }
+        self.get(index).map(|entry| entry.position.term)
+    }
+
+    /// Whether the log has an entry at this position.
+    pub fn contains(&self, position: position::Position) -> bool {
+        self.term_at(position.index) == Some(position.term)
+    }
+
+    /// The entry at an index, if it is in memory.
+    pub fn get(&self, index: index::Index) -> Option<&entry::Entry> {
+        let offset = index.0.checked_sub(self.base.index.0 + 1)?;
+        self.entries.get(usize::try_from(offset).ok()?)
+    }
+
+    /// Entries from an index on, up to a size in bytes but at least one.
+    pub fn batch(&self, from: index::Index, bytes: usize) -> Vec<entry::Entry> {
+        let mut batch = Vec::new();
+        let mut size = 0;
+        let mut next = from;
+        while let Some(entry) = self.get(next) {
+            size += entry.payload.size();
+            if size > bytes && !batch.is_empty() {
+                break;
+            }
+            batch.push(entry.clone());
+            next = next.next();
+        }
+        batch
+    }
+
+    /// The first index whose term is that of the entry at `index`, so that a
+    /// whole conflicting term is skipped at once.
+    pub fn first_of_term(&self, index: index::Index) -> index::Index {
+        let term = self.term_at(index);
+        let mut first = index;
+        while first.previous() > self.base.index && self.term_at(first.previous()) == term {
+            first = first.previous();
+        }
+        first
+    }
+
+    /// Appends an entry, which must follow the last one.
+    pub fn push(&mut self, entry: entry::Entry) {
+        debug_assert_eq!(entry.position.index, self.last().index.next());
+        if let payload::Payload::Members(membership) = &entry.payload {
+            let index = entry.position.index;
+            self.memberships.push((index, membership.clone()));
+        }
+        self.entries.push_back(entry);
+    }
+
+    /// Removes the entries from an index on.
+    pub fn truncate(&mut self, from: index::Index) {
+        let kept = from.0.saturating_sub(self.base.index.0 + 1);
+        self.entries.truncate(usize::try_from(kept).unwrap_or(0));
+        self.memberships
+            .retain(|(index, _)| *index < from || *index <= self.base.index);
+        self.durable = self.durable.min(from.previous());
+        self.note_removed(from);
+    }
+
+    /// Notes that the log is durable up to an index.
+    pub fn persisted(&mut self, index: index::Index) {
+        self.durable = self.durable.max(index).min(self.last().index);
+    }
+
+    /// Takes a snapshot of the caller's state at a committed index, and drops
+    /// all but `retained` of the entries that it covers. Returns false when the
+    /// index is not newer than the present snapshot.
+    pub fn compact(&mut self, index: index::Index, data: &[u8], retained: u64) -> bool {
+        let Some(term) = self.term_at(index) else {
+            return false;
+        };
+        if index <= self.snapshot.meta.position.index {
+            return false;
+        }
+        let meta = snapshot::Meta {
+            position: position::Position { term, index },
+            membership: self.membership_at(index).clone(),
+        };
+        let data = data.into();
+        self.snapshot = snapshot::Snapshot { meta, data };
+        self.drop_up_to(index::Index(index.0.saturating_sub(retained)));
+        true
+    }
+
+    /// Replaces the whole log by a received snapshot. Nothing is durable until
+    /// [`Log::persisted`] says so.
+    pub fn reset(&mut self, snapshot: snapshot::Snapshot) {
+        *self = Self {
+            durable: index::Index(0),
+            truncated: self.truncated,
+            ..Self::after(snapshot)
+        };
+        self.note_removed(self.base.index.next());
+    }
+
+    /// Takes the entries that no write contains yet.
+    pub fn take_unwritten(&mut self) -> Vec<entry::Entry> {
+        let entries = self.batch(self.unwritten, usize::MAX);
+        self.unwritten = self.last().index.next();
+        entries
+    }
+
+    /// Takes the lowest index removed since the last write.
+    pub fn take_truncated(&mut self) -> Option<index::Index> {
+        self.truncated.take()
+    }
+
+    /// Notes that entries from an index on were removed. Only those that a
+    /// write already contains have to be removed from the disk.
+    fn note_removed(&mut self, from: index::Index) {
+        if from < self.unwritten || from == self.base.index.next() {
+            let lowest = self.truncated.map_or(from, |earlier| earlier.min(from));
+            self.truncated = Some(lowest);
+        }
+        self.unwritten = self.unwritten.min(from);
+    }
+
+    fn membership_at(&self, at: index::Index) -> &membership::Membership {
+        let mut earlier = self.memberships.iter().rev();
+        let found = earlier.find(|(index, _)| *index <= at);
+        &found.unwrap_or(&self.memberships[0]).1
+    }
+
+    fn drop_up_to(&mut self, index: index::Index) {
+        let Some(term) = self.term_at(index).filter(|_| index > self.base.index) else {
+            return;
+        };
+        let membership = self.membership_at(index).clone();
+        let dropped = index.0 - self.base.index.0;
+        self.entries.drain(..usize::try_from(dropped).unwrap_or(0));
+        self.memberships.retain(|(from, _)| *from > index);
+        self.memberships.insert(0, (index, membership));
+        self.base = position::Position { term, index };
+    }
+}
--- /dev/null
+++ b/crates/agreement/src/options.rs
@@ -0,0 +1,48 @@
+//! Settings of the agreement.
+
+use std::time::Duration;
+
+use bon::Builder;
+
+/// Settings of the agreement. The defaults suit one-way latencies up to some
+/// 30 ms.
+#[derive(Clone, Copy, Debug, Builder)]
+pub struct Options {
+    /// Shortest wait for a leader before an election.
+    #[builder(default = Duration::from_millis(300))]
+    pub election_min: Duration,
+    /// Longest wait for a leader before an election. A leader that hears from
+    /// no majority for this long steps down.
+    #[builder(default = Duration::from_millis(600))]
+    pub election_max: Duration,
+    /// Interval of a leader's heartbeats.
+    #[builder(default = Duration::from_millis(75))]
+    pub heartbeat: Duration,
+    /// Largest size of the entries in one message, in bytes; a single larger
+    /// entry is sent alone.
+    #[builder(default = 1 << 20)]
+    pub batch_bytes: usize,
+    /// Largest number of entries sent to a member but not acknowledged by it.
+    #[builder(default = 4096)]
+    pub window: u64,
+    /// Largest number of entries that wait for a majority.
+    #[builder(default = 16_384)]
+    pub uncommitted: u64,
+    /// Size of a snapshot chunk in bytes. One chunk is under way at a time, so
+    /// 256 KiB over a round trip of 24 ms gives about 10 MB/s.
+    #[builder(default = 256 << 10)]
+    pub chunk_bytes: usize,
+    /// Entries kept in memory behind a snapshot, so that a member slightly
+    /// behind needs no snapshot.
+    #[builder(default = 4096)]
+    pub retained: u64,
+    /// How many entries a learner may lack when it is given a vote.
+    #[builder(default = 100)]
+    pub promotion_lag: u64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self::builder().build()
+    }
+}
--- /dev/null
+++ b/crates/agreement/src/rounds.rs
@@ -0,0 +1,62 @@
+//! Rounds of leadership confirmation.
+
+use crate::ticket;
+
+/// A ticket that waits for a round.
+#[derive(Debug)]
+struct Waiting {
+    round: u64,
+    ticket: ticket::Ticket,
+}
+
+/// Numbers the heartbeat rounds of a leader and the tickets that wait for them.
+#[derive(Debug, Default)]
+pub struct Rounds {
+    started: u64,
+    finished: u64,
+    waiting: Vec<Waiting>,
+}
+
+impl Rounds {
+    /// Makes a ticket wait for the next round to start.
+    pub fn wait(&mut self, ticket: ticket::Ticket) {
+        let round = self.started + 1;
+        self.waiting.push(Waiting { round, ticket });
+    }
+
+    /// Whether a round should start for tickets. One round is under way at a
+    /// time, so that a burst of tickets shares one.
+    pub fn is_due(&self) -> bool {
+        let waits = self.waiting.iter().any(|wait| wait.round > self.started);
+        waits && self.started == self.finished
+    }
+
+    /// Starts a round and returns its number.
+    pub fn start(&mut self) -> u64 {
+        self.started += 1;
+        self.started
+    }
+
+    /// Number of the round started last.
+    pub fn started(&self) -> u64 {
+        self.started
+    }
+
+    /// Takes note that a majority answered a round.
+    pub fn finish(&mut self, round: u64) {
+        self.finished = self.finished.max(round);
+    }
+
+    /// Takes the tickets whose round has finished.
+    pub fn take_finished(&mut self) -> Vec<ticket::Ticket> {
+        let finished = self.finished;
+        let done = self.waiting.extract_if(.., |wait| wait.round <= finished);
+        done.map(|wait| wait.ticket).collect()
+    }
+
+    /// Takes all tickets, when the leader steps down.
+    pub fn take_all(&mut self) -> Vec<ticket::Ticket> {
+        let waiting = std::mem::take(&mut self.waiting);
+        waiting.into_iter().map(|wait| wait.ticket).collect()
+    }
+}
--- /dev/null
+++ b/crates/agreement/src/stage.rs
@@ -0,0 +1,38 @@
+//! What a member keeps while it has a role.
+
+use masticarch_model::member;
+
+use crate::{leader, role, tally};
+
+/// The role of a member with the state that belongs to it.
+#[derive(Debug)]
+pub enum Stage {
+    /// Follows the leader, if one is known.
+    Follower(Option<member::Id>),
+    /// Collects answers to [`crate::message::Body::PreVote`].
+    PreCandidate(tally::Tally),
+    /// Collects votes.
+    Candidate(tally::Tally),
+    /// Leads.
+    Leader(leader::Leader),
+}
+
+impl Stage {
+    /// The role without its state.
+    pub fn role(&self) -> role::Role {
+        match self {
+            Self::Follower(_) => role::Role::Follower,
+            Self::PreCandidate(_) => role::Role::PreCandidate,
+            Self::Candidate(_) => role::Role::Candidate,
+            Self::Leader(_) => role::Role::Leader,
+        }
+    }
+
+    /// The leader's state, if this member leads.
+    pub fn leader_mut(&mut self) -> Option<&mut leader::Leader> {
+        match self {
+            Self::Leader(leader) => Some(leader),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/agreement/tests/support/member.rs
@@ -0,0 +1,171 @@
+//! One member with its disk and its replicated state.
+
+use std::collections::VecDeque;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use masticarch_agreement::{
+    agreement, entry, index, membership, options, recovered, role, sequence, snapshot, term, write,
+};
+use masticarch_model::member;
+
+use super::{Seeded, ledger};
+
+/// A write under way.
+struct Pending {
+    due: Duration,
+    write: write::Write,
+}
+
+/// One member.
+pub struct Member {
+    id: member::Id,
+    random: Seeded,
+    pub agreement: Option<agreement::Agreement<Seeded>>,
+    /// What is durable.
+    pub disk: recovered::Recovered,
+    /// What will be durable once all writes are finished.
+    pub image: recovered::Recovered,
+    pending: VecDeque<Pending>,
+    applied: index::Index,
+    state: Vec<u8>,
+    restart: Duration,
+}
+
+impl Member {
+    pub fn new(id: member::Id, snapshot: snapshot::Snapshot, random: Seeded) -> Self {
+        let disk = recovered::Recovered {
+            snapshot,
+            ..recovered::Recovered::default()
+        };
+        Self {
+            id,
+            random,
+            agreement: None,
+            image: disk.clone(),
+            disk,
+            pending: VecDeque::new(),
+            applied: index::Index(0),
+            state: Vec::new(),
+            restart: Duration::ZERO,
+        }
+    }
+
+    pub fn leads(&self) -> bool {
+        let status = self.agreement.as_ref().map(agreement::Agreement::status);
+        status.is_some_and(|status| status.role == role::Role::Leader)
+    }
+
+    pub fn term(&self) -> term::Term {
+        let status = self.agreement.as_ref().map(agreement::Agreement::status);
+        status.map_or(term::Term(0), |status| status.term)
+    }
+
+    pub fn membership(&self) -> membership::Membership {
+        let membership = self
+            .agreement
+            .as_ref()
+            .map(agreement::Agreement::membership);
+        membership.cloned().unwrap_or_default()
+    }
+
+    pub fn state(&self) -> (index::Index, Vec<u8>) {
+        (self.applied, self.state.clone())
+    }
+
+    pub fn write(&mut self, write: write::Write, due: Duration) {
+        store(&mut self.image, write.clone());
+        self.pending.push_back(Pending { due, write });
+    }
+
+    pub fn finish_writes(&mut self, now: Duration) -> Option<sequence::Sequence> {
+        let mut last = None;
+        while self.pending.front().is_some_and(|first| first.due <= now) {
+            last = self.finish_write();
+        }
+        last
+    }
+
+    fn finish_write(&mut self) -> Option<sequence::Sequence> {
+        let Pending { write, .. } = self.pending.pop_front()?;
+        let sequence = write.sequence;
+        store(&mut self.disk, write);
+        Some(sequence)
+    }
+
+    pub fn install(&mut self, snapshot: &snapshot::Snapshot) {
+        self.applied = snapshot.meta.position.index;
+        self.state = snapshot.data.to_vec();
+    }
+
+    pub fn apply(&mut self, entry: &entry::Entry) {
+        assert_eq!(entry.position.index, self.applied.next(), "a gap");
+        self.applied = entry.position.index;
+        self.state
+            .extend(ledger::command(entry).into_iter().flatten());
+    }
+
+    /// Loses everything volatile. Some of the pending writes may have reached
+    /// the disk without having been reported.
+    pub fn crash(&mut self, restart: Duration, random: &mut Seeded) {
+        while random.percent(50) && self.finish_write().is_some() {}
+        self.pending.clear();
+        self.agreement = None;
+        self.restart = restart;
+    }
+
+    pub fn restart_if_due(&mut self, now: Duration) {
+        if self.agreement.is_some() || now < self.restart {
+            return;
+        }
+        self.image = self.disk.clone();
+        self.applied = index::Index(0);
+        self.state.clear();
+        let options = options::Options::builder()
+            .chunk_bytes(64)
+            .retained(10)
+            .window(16)
+            .batch_bytes(40)
+            .build();
+        let recovered = self.disk.clone();
+        let random = self.random.fork();
+        let agreement = agreement::Agreement::new(self.id, options, recovered, random, now);
+        self.agreement = Some(agreement);
+    }
+}
+
+/// The first members of a group.
+pub fn founders(size: u64) -> membership::Membership {
+    let voter = |id| member::Member {
+        voter: true,
+        ..learner(member::Id(id))
+    };
+    membership::Membership::new((1..=size).map(voter).collect())
+}
+
+/// A member without a vote.
+pub fn learner(id: member::Id) -> member::Member {
+    member::Member {
+        id,
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+        voter: false,
+    }
+}
+
+fn store(disk: &mut recovered::Recovered, write: write::Write) {
+    disk.vote = write.vote.unwrap_or(disk.vote);
+    if let Some(from) = write.truncate {
+        disk.entries.retain(|entry| entry.position.index < from);
+    }
+    if let Some(snapshot) = write.snapshot {
+        let covered = snapshot.meta.position.index;
+        disk.entries.retain(|entry| entry.position.index > covered);
+        disk.snapshot = snapshot;
+    }
+    for entry in write.entries {
+        let last = disk.entries.last().map(|last| last.position.index);
+        let last = last.unwrap_or(disk.snapshot.meta.position.index);
+        assert_eq!(entry.position.index, last.next(), "a gap on disk");
+        disk.entries.push(entry);
+    }
+}
--- /dev/null
+++ b/crates/agreement/tests/support/mod.rs
@@ -0,0 +1,372 @@
+//! A group of members on virtual time, with a faulty network and faulty disks.
+
+mod ledger;
+mod member;
+mod random;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use masticarch_agreement::{agreement, change, effects, message, role, snapshot, ticket};
+use masticarch_model::member as model;
+
+pub use member::learner;
+pub use random::Seeded;
+
+/// Faults of a simulated run.
+#[derive(Clone, Copy)]
+pub struct Faults {
+    /// Share of messages lost, in percent.
+    pub lost: u64,
+    /// Share of messages repeated, in percent.
+    pub repeated: u64,
+    /// Longest delay of a message in milliseconds; delays reorder messages.
+    pub delay: u64,
+    /// Mean time between crashes in milliseconds, or 0.
+    pub crash: u64,
+    /// Mean time between partitions in milliseconds, or 0.
+    pub partition: u64,
+    /// Mean time between losses of a disk in milliseconds, or 0.
+    pub replace: u64,
+}
+
+impl Faults {
+    /// A network that only delays.
+    pub fn none() -> Self {
+        Self {
+            lost: 0,
+            repeated: 0,
+            delay: 5,
+            crash: 0,
+            partition: 0,
+            replace: 0,
+        }
+    }
+
+    /// Everything at once.
+    pub fn all() -> Self {
+        Self {
+            lost: 8,
+            repeated: 8,
+            delay: 60,
+            crash: 700,
+            partition: 900,
+            replace: 4000,
+        }
+    }
+}
+
+/// A message under way.
+struct Transit {
+    due: Duration,
+    message: message::Message,
+}
+
+/// A ticket with what was true when it was drawn.
+struct Drawn {
+    elected: u64,
+    acknowledged: u64,
+}
+
+/// A group of members.
+pub struct Group {
+    pub faults: Faults,
+    pub random: Seeded,
+    pub now: Duration,
+    pub members: BTreeMap<model::Id, member::Member>,
+    pub ledger: ledger::Ledger,
+    transit: Vec<Transit>,
+    tickets: BTreeMap<(model::Id, ticket::Ticket), Drawn>,
+    cut: Vec<model::Id>,
+    cut_until: Duration,
+    leaving: Option<model::Id>,
+    next_id: u64,
+    next_command: u64,
+    pub confirmations: BTreeMap<model::Id, usize>,
+    pub replacements: usize,
+}
+
+impl Group {
+    /// A new group of `size` voters.
+    pub fn new(size: u64, seed: u64, faults: Faults) -> Self {
+        let mut random = Seeded::new(seed);
+        let initial = snapshot::Snapshot::initial(member::founders(size));
+        let make = |id| {
+            let member = member::Member::new(id, initial.clone(), random.fork());
+            (id, member)
+        };
+        let members = (1..=size).map(model::Id).map(make).collect();
+        Self {
+            faults,
+            random,
+            now: Duration::ZERO,
+            members,
+            ledger: ledger::Ledger::default(),
+            transit: Vec::new(),
+            tickets: BTreeMap::new(),
+            cut: Vec::new(),
+            cut_until: Duration::ZERO,
+            leaving: None,
+            next_id: size + 1,
+            next_command: 0,
+            confirmations: BTreeMap::new(),
+            replacements: 0,
+        }
+    }
+
+    /// Lets virtual time pass in steps of 2 ms, with client traffic.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += Duration::from_millis(2);
+            self.inject();
+            self.deliver();
+            self.tick();
+            self.request();
+        }
+    }
+
+    /// Ends all faults, restarts every member and lets the group settle.
+    pub fn heal(&mut self) {
+        self.faults = Faults::none();
+        self.cut.clear();
+        self.run(Duration::from_secs(8));
+    }
+
+    /// The member that leads with the latest term.
+    pub fn leader(&self) -> Option<model::Id> {
+        let leaders = self.members.iter().filter(|(_, member)| member.leads());
+        let latest = leaders.max_by_key(|(_, member)| member.term());
+        latest.map(|(id, _)| *id)
+    }
+
+    /// Cuts a member off from all others until further notice.
+    pub fn isolate(&mut self, id: model::Id) {
+        self.cut = vec![id];
+        self.cut_until = Duration::MAX;
+    }
+
+    /// Gives input to a running member and carries out the effects.
+    pub fn input<T>(
+        &mut self,
+        id: model::Id,
+        act: impl FnOnce(&mut agreement::Agreement<Seeded>, Duration) -> T,
+    ) -> Option<T> {
+        let now = self.now;
+        let member = self.members.get_mut(&id)?;
+        let output = act(member.agreement.as_mut()?, now);
+        let effects = member.agreement.as_mut()?.effects();
+        self.carry_out(id, effects);
+        Some(output)
+    }
+
+    /// Draws a ticket from a member.
+    pub fn confirm(&mut self, id: model::Id) {
+        let drawn = Drawn {
+            elected: self.ledger.latest_term(),
+            acknowledged: self.ledger.last_index(),
+        };
+        let Some(Some(agreement)) = self
+            .members
+            .get_mut(&id)
+            .map(|member| &mut member.agreement)
+        else {
+            return;
+        };
+        if let Ok(ticket) = agreement.confirm() {
+            self.tickets.insert((id, ticket), drawn);
+        }
+        self.input(id, |_, _| ());
+    }
+
+    /// Proposes a command that no other proposal equals.
+    pub fn propose(&mut self, id: model::Id) {
+        self.next_command += 1;
+        let command = self.next_command.to_le_bytes().to_vec();
+        self.input(id, |agreement, _| agreement.propose(command));
+    }
+
+    /// Crashes a member; it loses what was not persisted.
+    pub fn crash(&mut self, id: model::Id) {
+        let pause = Duration::from_millis(self.random.below(800));
+        let now = self.now;
+        if let Some(member) = self.members.get_mut(&id) {
+            member.crash(now + pause, &mut self.random);
+        }
+        self.tickets.retain(|(owner, _), _| *owner != id);
+    }
+
+    /// Destroys a member with its disk, and starts another with a new id.
+    pub fn replace(&mut self, id: model::Id) -> model::Id {
+        self.crash(id);
+        self.members.remove(&id);
+        let new = model::Id(self.next_id);
+        self.next_id += 1;
+        let empty = snapshot::Snapshot::default();
+        let member = member::Member::new(new, empty, self.random.fork());
+        self.members.insert(new, member);
+        self.leaving = Some(id);
+        self.replacements += 1;
+        new
+    }
+
+    fn carry_out(&mut self, id: model::Id, effects: effects::Effects) {
+        let now = self.now;
+        let delay = Duration::from_millis(self.random.below(12));
+        let Some(member) = self.members.get_mut(&id) else {
+            return;
+        };
+        if let Some(write) = effects.write {
+            member.write(write, now + delay);
+        }
+        if let Some(status) = effects
+            .status
+            .filter(|status| status.role == role::Role::Leader)
+        {
+            self.ledger.elected(status.term, id);
+            self.ledger.check_complete(&member.image);
+        }
+        if let Some(installed) = effects.installed {
+            self.ledger.check_installed(&installed);
+            member.install(&installed);
+        }
+        for entry in effects.committed {
+            member.apply(&entry);
+            self.ledger.commit(&entry);
+        }
+        let term = member.term();
+        for confirmation in effects.confirmed {
+            let drawn = self.tickets.remove(&(id, confirmation.ticket));
+            let drawn = drawn.expect("a ticket resolves once");
+            assert!(drawn.elected <= term.0, "a deposed leader was confirmed");
+            assert!(drawn.acknowledged <= confirmation.index.0, "stale read");
+            *self.confirmations.entry(id).or_default() += 1;
+        }
+        for ticket in effects.refused {
+            self.tickets.remove(&(id, ticket));
+        }
+        effects
+            .messages
+            .into_iter()
+            .for_each(|message| self.send(message));
+    }
+
+    fn send(&mut self, message: message::Message) {
+        if self.random.percent(self.faults.repeated) {
+            self.transmit(message.clone());
+        }
+        self.transmit(message);
+    }
+
+    fn transmit(&mut self, message: message::Message) {
+        if self.random.percent(self.faults.lost) {
+            return;
+        }
+        let delay = 1 + self.random.below(self.faults.delay);
+        let due = self.now + Duration::from_millis(delay);
+        self.transit.push(Transit { due, message });
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let mut due: Vec<_> = self
+            .transit
+            .extract_if(.., |transit| transit.due <= now)
+            .collect();
+        due.sort_by_key(|transit| transit.due);
+        for Transit { message, .. } in due {
+            let crosses = self.cut.contains(&message.from) != self.cut.contains(&message.to);
+            if !crosses {
+                self.input(message.to, |agreement, now| agreement.receive(now, message));
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let ids: Vec<_> = self.members.keys().copied().collect();
+        for id in ids {
+            let now = self.now;
+            let Some(member) = self.members.get_mut(&id) else {
+                continue;
+            };
+            member.restart_if_due(now);
+            if let Some(sequence) = member.finish_writes(now) {
+                self.input(id, |agreement, _| agreement.persisted(sequence));
+            }
+            self.input(id, |agreement, now| {
+                if now >= agreement.deadline() {
+                    agreement.tick(now);
+                }
+            });
+        }
+    }
+
+    fn request(&mut self) {
+        let ids: Vec<_> = self.members.keys().copied().collect();
+        let id = ids[self.random.index(ids.len())];
+        if self.random.percent(20) {
+            self.propose(id);
+        }
+        if self.random.percent(20) {
+            self.confirm(id);
+        }
+        if self.random.percent(2) {
+            let (index, state) = self.members[&id].state();
+            self.input(id, |agreement, _| agreement.compact(index, &state));
+        }
+        if self.random.percent(5) {
+            self.repair();
+        }
+    }
+
+    /// Takes one step of the repair of the group through its leader.
+    fn repair(&mut self) {
+        let Some(leader) = self.leader() else {
+            return;
+        };
+        let newest = model::Id(self.next_id - 1);
+        let leaving = self.leaving;
+        self.input(leader, |agreement, _| {
+            let known = agreement.membership().clone();
+            let step = match (
+                known.find(newest),
+                leaving.filter(|id| known.find(*id).is_some()),
+            ) {
+                (None, _) => Some(change::Change::AddLearner(member::learner(newest))),
+                (Some(member), _) if !member.voter => Some(change::Change::Promote(newest)),
+                (_, leaving) => leaving.map(change::Change::Remove),
+            };
+            step.map(|step| agreement.change(step));
+        });
+    }
+
+    /// Whether the last replacement is committed.
+    pub fn repaired(&self) -> bool {
+        let Some(leader) = self.leader() else {
+            return false;
+        };
+        let membership = self.members[&leader].membership();
+        let newest = model::Id(self.next_id - 1);
+        let left = self.leaving.is_none_or(|id| membership.find(id).is_none());
+        left && membership.is_voter(newest)
+    }
+
+    fn inject(&mut self) {
+        let ids: Vec<_> = self.members.keys().copied().collect();
+        let victim = ids[self.random.index(ids.len())];
+        if self.random.once_in(self.faults.crash / 2) {
+            self.crash(victim);
+        }
+        if self.random.once_in(self.faults.replace / 2) && self.repaired() {
+            self.replace(victim);
+        }
+        if self.now >= self.cut_until {
+            self.cut.clear();
+        }
+        if self.random.once_in(self.faults.partition / 2) {
+            let random = &mut self.random;
+            self.cut = ids.into_iter().filter(|_| random.percent(40)).collect();
+            self.cut_until = self.now + Duration::from_millis(self.random.below(1500));
+        }
+    }
+}
