--- a/crates/agreement/tests/support/mod.rs
+++ b/crates/agreement/tests/support/mod.rs
@@ -22,6 +22,8 @@
     pub repeated: u64,
     /// Longest delay of a message in milliseconds; delays reorder messages.
     pub delay: u64,
+    /// Share of messages that arrive up to 2 s late, after an election.
+    pub late: u64,
     /// Mean time between crashes in milliseconds, or 0.
     pub crash: u64,
     /// Mean time between partitions in milliseconds, or 0.
@@ -37,6 +39,7 @@
             lost: 0,
             repeated: 0,
             delay: 5,
+            late: 0,
             crash: 0,
             partition: 0,
             replace: 0,
@@ -49,6 +52,7 @@
             lost: 8,
             repeated: 8,
             delay: 60,
+            late: 2,
             crash: 700,
             partition: 900,
             replace: 4000,
@@ -262,7 +266,9 @@
         if self.random.percent(self.faults.lost) {
             return;
         }
-        let delay = 1 + self.random.below(self.faults.delay);
+        let late = self.random.percent(self.faults.late);
+        let longest = if late { 2000 } else { self.faults.delay };
+        let delay = 1 + self.random.below(longest);
         let due = self.now + Duration::from_millis(delay);
         self.transit.push(Transit { due, message });
     }
--- /dev/null
+++ b/crates/store/src/batch.rs
@@ -0,0 +1,35 @@
+//! Batches of changes to the log.
+
+use serde::{Deserialize, Serialize};
+
+use crate::entry;
+
+/// A change of the log that is written as one record and synced once.
+///
+/// One record per sync means that whatever follows a damaged record was written
+/// after that record had been synced, which tells corruption from a torn tail.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Batch {
+    /// Removes the entries from this index on.
+    pub truncate: Option<u64>,
+    /// Entries to append after that.
+    pub entries: Vec<entry::Entry>,
+}
+
+impl Batch {
+    /// Whether the batch changes nothing.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.truncate.is_none() && self.entries.is_empty()
+    }
+
+    /// Adds a later batch to this one.
+    pub fn absorb(&mut self, later: Self) {
+        if let Some(from) = later.truncate {
+            self.entries.retain(|entry| entry.index < from);
+            let lowest = self.truncate.map_or(from, |earlier| earlier.min(from));
+            self.truncate = Some(lowest);
+        }
+        self.entries.extend(later.entries);
+    }
+}
--- /dev/null
+++ b/crates/store/src/image.rs
@@ -0,0 +1,63 @@
+//! The log as its batches build it up.
+
+use std::collections::VecDeque;
+
+use crate::{batch, entry};
+
+/// The log while its segments are read.
+#[derive(Debug)]
+pub struct Image {
+    /// Index that the snapshot covers.
+    covered: u64,
+    entries: VecDeque<entry::Entry>,
+}
+
+impl Image {
+    /// An empty log beside a snapshot.
+    pub fn new(covered: u64) -> Self {
+        Self {
+            covered,
+            entries: VecDeque::new(),
+        }
+    }
+
+    /// Applies a batch; says what is wrong with it otherwise.
+    pub fn apply(&mut self, batch: batch::Batch) -> Result<(), &'static str> {
+        if let Some(from) = batch.truncate {
+            let kept = self.entries.partition_point(|entry| entry.index < from);
+            self.entries.truncate(kept);
+        }
+        batch
+            .entries
+            .into_iter()
+            .try_for_each(|entry| self.push(entry))
+    }
+
+    /// The entries after the snapshot; `None` if the first ones are missing.
+    pub fn finish(mut self) -> Option<Vec<entry::Entry>> {
+        let covered = self.covered;
+        let first = self.entries.partition_point(|entry| entry.index <= covered);
+        self.entries.drain(..first);
+        let joined = self
+            .entries
+            .front()
+            .is_none_or(|first| first.index == covered + 1);
+        joined.then(|| self.entries.into())
+    }
+
+    /// Appends an entry. Entries may be missing only where the snapshot covers
+    /// them.
+    fn push(&mut self, entry: entry::Entry) -> Result<(), &'static str> {
+        let last = self.entries.back().map(|last| last.index);
+        let follows = last.is_some_and(|last| entry.index == last + 1);
+        if !follows {
+            let behind = last.is_none_or(|last| last < entry.index);
+            if !behind || entry.index > self.covered + 1 {
+                return Err("an entry is out of order");
+            }
+            self.entries.clear();
+        }
+        self.entries.push_back(entry);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/store/src/request.rs
@@ -0,0 +1,35 @@
+//! Requests to the store.
+
+use crate::{batch, snapshot};
+
+/// Something to make durable. The parts take effect in the order vote,
+/// truncation, snapshot, entries, so that a crash between them leaves a state
+/// that could have been reached without it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Request {
+    /// Number that the completion names; rises with every request.
+    pub sequence: u64,
+    /// The new vote.
+    pub vote: Option<Vec<u8>>,
+    /// Changes of the log.
+    pub batch: batch::Batch,
+    /// Replaces the snapshot.
+    pub snapshot: Option<snapshot::Snapshot>,
+}
+
+impl Request {
+    /// Adds the request that follows, so that both share one sync; gives it
+    /// back when a snapshot must keep its place between the entries.
+    ///
+    /// # Errors
+    /// The later request.
+    pub fn absorb(&mut self, later: Self) -> Result<(), Self> {
+        if self.snapshot.is_some() || later.snapshot.is_some() {
+            return Err(later);
+        }
+        self.sequence = later.sequence;
+        self.vote = later.vote.or(self.vote.take());
+        self.batch.absorb(later.batch);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/store/src/segment.rs
@@ -0,0 +1,82 @@
+//! Segments of the log.
+
+use crate::{batch, disk, error, image, record};
+
+/// Start of the file names of segments.
+const PREFIX: &str = "log-";
+
+/// A segment of the log, as far as its removal is concerned.
+#[derive(Clone, Debug)]
+pub struct Segment {
+    /// Number of the segment; segments are numbered without gaps.
+    pub number: u64,
+    /// Highest index that any of its batches appended.
+    pub highest: u64,
+    /// Size in bytes.
+    pub size: u64,
+}
+
+impl Segment {
+    /// A new segment.
+    pub fn new(number: u64) -> Self {
+        Self {
+            number,
+            highest: 0,
+            size: 0,
+        }
+    }
+
+    /// The file name.
+    pub fn name(&self) -> String {
+        format!("{PREFIX}{:016}", self.number)
+    }
+
+    /// The number in a file name, if it is the name of a segment.
+    pub fn parse(name: &str) -> Option<u64> {
+        name.strip_prefix(PREFIX)?.parse().ok()
+    }
+
+    /// Reads a segment into the image of the log. Only the last segment can
+    /// have a torn tail, which is cut off.
+    pub fn load<D: disk::Disk>(
+        number: u64,
+        is_last: bool,
+        disk: &D,
+        image: &mut image::Image,
+    ) -> Result<Self, error::Error> {
+        let mut segment = Self::new(number);
+        let name = segment.name();
+        let bytes = disk.read(&name).map_err(error::Error::io("read", &name))?;
+        let mut offset = 0;
+        while offset < bytes.len() {
+            let corrupt = |reason| error::Error::Corrupt(name.clone(), offset as u64, reason);
+            let Some(record) = record::read(&bytes, offset) else {
+                if is_last && record::is_torn(&bytes, offset) {
+                    segment.cut(disk, offset as u64)?;
+                    break;
+                }
+                return Err(corrupt("the checksum does not match"));
+            };
+            let batch = postcard::from_bytes(record.payload);
+            let batch = batch.map_err(|_| corrupt("the batch cannot be decoded"))?;
+            segment.count(&batch);
+            image.apply(batch).map_err(corrupt)?;
+            offset = record.end;
+        }
+        segment.size = offset as u64;
+        Ok(segment)
+    }
+
+    /// Takes note of a batch.
+    pub fn count(&mut self, batch: &batch::Batch) {
+        let last = batch.entries.last().map_or(0, |entry| entry.index);
+        self.highest = self.highest.max(last);
+    }
+
+    fn cut<D: disk::Disk>(&self, disk: &D, length: u64) -> Result<(), error::Error> {
+        let name = self.name();
+        tracing::warn!(file = name, offset = length, "torn tail removed");
+        disk.shorten(&name, length)
+            .map_err(error::Error::io("shorten", &name))
+    }
+}
--- /dev/null
+++ b/crates/store/src/writer.rs
@@ -0,0 +1,81 @@
+//! The thread that writes.
+
+use std::io;
+use std::sync::mpsc::{self, Receiver, Sender};
+use std::thread;
+
+use futures::channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
+
+use crate::{completion, disk, request, store};
+
+/// Name of the thread.
+const THREAD: &str = "journal";
+
+/// Sends requests to the thread that writes. The thread ends once this value
+/// is dropped and all requests are written.
+#[derive(Debug)]
+pub struct Writer {
+    requests: Sender<request::Request>,
+}
+
+impl Writer {
+    /// Starts the thread. Completions arrive in the order of the requests; one
+    /// may cover several requests, which then shared a sync. The number of
+    /// requests under way is bounded by the sender, who waits for completions.
+    ///
+    /// # Errors
+    /// The error of the operating system when no thread can be started.
+    pub fn start<D>(
+        store: store::Store<D>,
+    ) -> io::Result<(Self, UnboundedReceiver<completion::Completion>)>
+    where
+        D: disk::Disk + Send + 'static,
+        D::File: Send,
+    {
+        let (requests, queue) = mpsc::channel();
+        let (completions, reports) = unbounded();
+        let thread = thread::Builder::new().name(THREAD.to_owned());
+        thread.spawn(move || run(store, &queue, &completions))?;
+        Ok((Self { requests }, reports))
+    }
+
+    /// Hands over a request without waiting. Returns false when the thread has
+    /// ended after an error.
+    #[must_use]
+    pub fn send(&self, request: request::Request) -> bool {
+        self.requests.send(request).is_ok()
+    }
+}
+
+/// Writes until the sender is gone or a write fails.
+fn run<D: disk::Disk>(
+    mut store: store::Store<D>,
+    queue: &Receiver<request::Request>,
+    completions: &UnboundedSender<completion::Completion>,
+) {
+    let mut kept = None;
+    while let Some(mut request) = kept.take().or_else(|| queue.recv().ok()) {
+        kept = gather(&mut request, queue);
+        let sequence = request.sequence;
+        if let Err(failure) = store.write(request) {
+            tracing::error!(error = %failure, "writing failed; no further acknowledgements");
+            let _ = completions.unbounded_send(completion::Completion::Failed(failure));
+            return;
+        }
+        let _ = completions.unbounded_send(completion::Completion::Persisted(sequence));
+    }
+}
+
+/// Adds the requests that are waiting already, so that they share a sync.
+/// Returns the first one that cannot be added.
+fn gather(
+    request: &mut request::Request,
+    queue: &Receiver<request::Request>,
+) -> Option<request::Request> {
+    while let Ok(later) = queue.try_recv() {
+        if let Err(kept) = request.absorb(later) {
+            return Some(kept);
+        }
+    }
+    None
+}
