--- /dev/null
+++ b/crates/agreement/tests/rules.rs
@@ -0,0 +1,228 @@
+//! Rules of Raft that random faults seldom exercise, by scripted messages.
+
+use std::time::Duration;
+
+use masticarch_agreement::{
+    agreement, change, effects, entry, index, membership, message, options, payload, position,
+    random, recovered, refusal, role, sequence, snapshot, term, ticket, vote,
+};
+use masticarch_model::member;
+
+const OWN: member::Id = member::Id(1);
+const LEFT: member::Id = member::Id(2);
+const RIGHT: member::Id = member::Id(3);
+const START: Duration = Duration::ZERO;
+/// When [`leader_of_three`] stands for election.
+const ELECTED: Duration = Duration::from_secs(1);
+
+struct Shortest;
+
+impl random::Random for Shortest {
+    fn below(&mut self, _limit: u64) -> u64 {
+        0
+    }
+}
+
+type Member = agreement::Agreement<Shortest>;
+
+fn at(term: u64, index: u64) -> position::Position {
+    let term = term::Term(term);
+    let index = index::Index(index);
+    position::Position { term, index }
+}
+
+fn entry(term: u64, index: u64) -> entry::Entry {
+    let payload = payload::Payload::Command(vec![u8::try_from(term).unwrap()]);
+    let position = at(term, index);
+    entry::Entry { position, payload }
+}
+
+/// A member of a group of three in term 3, with one entry each of terms 1 and 2.
+fn member_of_three() -> Member {
+    let voter = |id| member::Member {
+        id,
+        address: ([127, 0, 0, 1], 1).into(),
+        voter: true,
+    };
+    let members = [OWN, LEFT, RIGHT].map(voter).to_vec();
+    let recovered = recovered::Recovered {
+        vote: vote::Vote {
+            term: term::Term(3),
+            candidate: None,
+        },
+        snapshot: snapshot::Snapshot::initial(membership::Membership::new(members)),
+        entries: vec![entry(1, 1), entry(2, 2)],
+    };
+    agreement::Agreement::new(OWN, options::Options::default(), recovered, Shortest, START)
+}
+
+fn receive(member: &mut Member, from: member::Id, term: u64, body: message::Body) {
+    let term = term::Term(term);
+    let to = OWN;
+    let message = message::Message {
+        from,
+        to,
+        term,
+        body,
+    };
+    member.receive(START, message);
+}
+
+fn persist(member: &mut Member) -> effects::Effects {
+    let write = member.effects().write.expect("something to persist");
+    member.persisted(write.sequence);
+    member.effects()
+}
+
+fn appended(matched: u64) -> message::Body {
+    let matched = index::Index(matched);
+    message::Body::Appended { matched }
+}
+
+fn append(previous: position::Position, entries: Vec<entry::Entry>, commit: u64) -> message::Body {
+    let commit = index::Index(commit);
+    message::Body::Append {
+        previous,
+        entries,
+        commit,
+    }
+}
+
+/// A member that leads in term 4 and has its first entry at index 3.
+fn leader_of_three() -> Member {
+    let mut member = member_of_three();
+    member.tick(ELECTED);
+    let asked = term::Term(4);
+    let granted = true;
+    receive(
+        &mut member,
+        LEFT,
+        3,
+        message::Body::PreVoteReply { asked, granted },
+    );
+    persist(&mut member);
+    receive(&mut member, LEFT, 4, message::Body::VoteReply { granted });
+    persist(&mut member);
+    assert_eq!(member.status().role, role::Role::Leader);
+    member
+}
+
+/// What the messages to send say.
+fn replies(effects: effects::Effects) -> Vec<message::Body> {
+    let bodies = effects.messages.into_iter().map(|message| message.body);
+    bodies.collect()
+}
+
+// Guards against the commit of an earlier leader's entry by counting its copies,
+// which a later leader could still overwrite.
+#[test]
+fn entries_of_earlier_terms_commit_only_with_one_of_the_leaders() {
+    let mut leader = leader_of_three();
+
+    receive(&mut leader, LEFT, 4, appended(2));
+    let early = leader.effects().committed;
+    receive(&mut leader, LEFT, 4, appended(3));
+    let later = leader.effects().committed;
+
+    assert_eq!(early, []);
+    assert_eq!(later.len(), 3);
+}
+
+// Guards against a change of members by a leader that may not know of the change
+// that its predecessor committed.
+#[test]
+fn members_change_only_after_an_entry_of_the_term_is_committed() {
+    let mut leader = leader_of_three();
+
+    let early = leader.change(change::Change::Remove(RIGHT));
+    receive(&mut leader, LEFT, 4, appended(3));
+    leader.effects();
+    let later = leader.change(change::Change::Remove(RIGHT));
+
+    assert_eq!(early, Err(refusal::Refusal::NotReady));
+    assert!(later.is_ok());
+}
+
+// Guards against a confirmation by answers to a round that began earlier, when
+// another leader may have been elected in between.
+#[test]
+fn answers_to_an_earlier_round_confirm_nothing() {
+    let mut leader = leader_of_three();
+    receive(&mut leader, LEFT, 4, appended(3));
+    leader.tick(ELECTED);
+    leader.effects();
+
+    let ticket = leader.confirm().unwrap();
+    receive(
+        &mut leader,
+        LEFT,
+        4,
+        message::Body::HeartbeatReply { round: 1 },
+    );
+    let early = leader.effects().confirmed;
+    receive(
+        &mut leader,
+        LEFT,
+        4,
+        message::Body::HeartbeatReply { round: 2 },
+    );
+    let later = leader.effects().confirmed;
+
+    let index = index::Index(3);
+    assert_eq!(early, []);
+    assert_eq!(later, [ticket::Confirmation { ticket, index }]);
+}
+
+// Guards against a leader that lacks committed entries.
+#[test]
+fn vote_is_refused_to_a_shorter_log() {
+    let mut member = member_of_three();
+
+    receive(&mut member, LEFT, 5, message::Body::Vote { last: at(1, 9) });
+    let granted = false;
+
+    let reply = replies(persist(&mut member));
+    assert_eq!(reply, [message::Body::VoteReply { granted }]);
+}
+
+// Guards against two votes in a term, of which the first was lost in a crash.
+#[test]
+fn vote_is_sent_only_when_durable_and_once_a_term() {
+    let mut member = member_of_three();
+    let last = at(2, 2);
+
+    receive(&mut member, LEFT, 5, message::Body::Vote { last });
+    receive(&mut member, RIGHT, 5, message::Body::Vote { last });
+    let effects = member.effects();
+    let early = effects.messages.len();
+    member.persisted(effects.write.unwrap().sequence);
+    let later = replies(member.effects());
+
+    let reply = |granted| message::Body::VoteReply { granted };
+    assert_eq!(early, 0);
+    assert_eq!(later, [reply(true), reply(false)]);
+}
+
+// Guards against a late report of a write whose entries were removed and
+// appended again, but are not on the disk yet.
+#[test]
+fn removed_entries_are_durable_only_when_written_again() {
+    let mut member = member_of_three();
+    let mut writes = Vec::new();
+    for (term, entries, commit) in [
+        (3, vec![entry(3, 3)], 0),
+        (4, vec![entry(4, 3)], 0),
+        (5, vec![entry(3, 3)], 3),
+    ] {
+        receive(&mut member, LEFT, term, append(at(2, 2), entries, commit));
+        writes.push(member.effects().write.unwrap().sequence);
+    }
+
+    member.persisted(writes[0]);
+    let early = member.effects().committed;
+    member.persisted(sequence::Sequence(writes[2].0));
+    let later = member.effects().committed;
+
+    assert_eq!(early, []);
+    assert_eq!(later, [entry(3, 3)]);
+}
