--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,9 +1,11 @@
 //! Services of the control role: the processes on VMs with disks.
 
 pub mod admin;
+pub mod agreement;
 pub mod allotment;
 pub mod error;
 pub mod event;
+pub mod journal;
 pub mod listener;
 pub mod log;
 pub mod member;
