--- /dev/null
+++ b/crates/model/tests/catalog.rs
@@ -0,0 +1,439 @@
+//! The replicated state machine: changes, membership, claims and snapshots.
+
+mod fixture;
+
+use masticarch_model::{
+    answer, attempt, catalog, claim, code, command, delta, edit, incarnation, kind, outcome,
+    settlement, target, version,
+};
+use rstest::rstest;
+
+use fixture::{Log, change, node, set, target_of};
+
+fn subject(key: &str) -> claim::Subject {
+    claim::Subject {
+        team: Some("arica".into()),
+        route: "alertas".into(),
+        key: key.into(),
+    }
+}
+
+fn attempt(node: u64, sequence: u64) -> attempt::Attempt {
+    let node = incarnation::Incarnation(node);
+    attempt::Attempt { node, sequence }
+}
+
+fn claiming(digest: u8, attempt: attempt::Attempt) -> command::Command {
+    command::Command::Claim(subject("k"), [digest; 32], attempt)
+}
+
+fn settling(attempt: attempt::Attempt, settlement: settlement::Settlement) -> command::Command {
+    command::Command::Settle(subject("k"), attempt, settlement)
+}
+
+fn leaving(name: &str, incarnation: u64) -> command::Command {
+    command::Command::Leave(vec![(name.into(), incarnation::Incarnation(incarnation))])
+}
+
+fn done() -> settlement::Settlement {
+    settlement::Settlement::Done(Some(answer::Answer {
+        status: 200,
+        content_type: None,
+        body: Box::from(*b"ok"),
+    }))
+}
+
+/// A log with a configuration and the nodes 1 and 2.
+fn started() -> Log {
+    let mut log = Log::new();
+    log.apply(change(1, 0, vec![edit::Edit::Replace(set())]));
+    log.apply(command::Command::Join(node("one", 1)));
+    log.apply(command::Command::Join(node("two", 2)));
+    log
+}
+
+fn state(log: &Log) -> Option<claim::State> {
+    let claim = log.catalog.claim(&subject("k"));
+    claim.map(|claim| claim.state.clone())
+}
+
+// Guards against two operators who both believe that their change was made.
+#[test]
+fn one_of_two_racing_changes_wins() {
+    let mut log = Log::new();
+
+    let first = log.apply(change(1, 0, vec![edit::Edit::Replace(set())]));
+    let second = log.apply(change(2, 0, vec![]));
+
+    assert_eq!(first, outcome::Outcome::Changed(version::Version(1)));
+    assert_eq!(second, outcome::Outcome::Conflict(version::Version(1)));
+    assert_eq!(log.catalog.view().configuration, set());
+}
+
+// Guards against a resend that is applied twice or answered differently, also
+// after a restart from a snapshot.
+#[rstest]
+#[case::at_once(false)]
+#[case::after_a_snapshot(true)]
+fn resend_gets_the_first_result(#[case] restarts: bool) {
+    let mut log = Log::new();
+    let accepted = change(1, 0, vec![edit::Edit::Replace(set())]);
+    let refused = change(2, 0, vec![]);
+    let first = [log.apply(accepted.clone()), log.apply(refused.clone())];
+    log.apply(change(3, 1, vec![]));
+    if restarts {
+        log.restart();
+    }
+
+    let again = [log.apply(accepted), log.apply(refused)];
+
+    assert_eq!(again, first);
+    assert_eq!(
+        log.catalog.view().configuration_version,
+        version::Version(3)
+    );
+}
+
+// Guards against a table of results that grows without bound or drops results
+// too early.
+#[test]
+fn results_of_the_last_10_000_changes_are_kept() {
+    let mut log = Log::new();
+    for id in 1..=10_001_u64 {
+        log.apply(change(u128::from(id), id - 1, vec![]));
+    }
+
+    let dropped = log.apply(change(1, 0, vec![]));
+    let kept = log.apply(change(3, 2, vec![]));
+
+    assert_eq!(
+        dropped,
+        outcome::Outcome::Conflict(version::Version(10_001))
+    );
+    assert_eq!(kept, outcome::Outcome::Changed(version::Version(3)));
+}
+
+// Guards against a faulty change that takes effect in part.
+#[test]
+fn faulty_change_changes_nothing() {
+    let mut log = started();
+    let before = log.catalog.view().configuration.clone();
+    let mut route = set().routes[0].clone();
+    route.name = "copy".into();
+    route.service = "other".into();
+
+    let edits = vec![
+        edit::Edit::Delete(kind::Kind::Key, "arica-1".into()),
+        edit::Edit::Put(masticarch_model::object::Object::Route(route)),
+    ];
+    let outcome = log.apply(change(2, 1, edits));
+
+    let outcome::Outcome::Faulty(findings) = outcome else {
+        panic!("not faulty: {outcome:?}")
+    };
+    assert_eq!(findings[0].code, code::Code::DuplicateName);
+    assert_eq!(&*findings[0].field, "path");
+    assert_eq!(log.catalog.view().configuration, before);
+}
+
+// Guards against an object that vanishes while others refer to it, and against
+// a refusal that leaves the operator to search for them.
+#[rstest]
+#[case(
+    kind::Kind::Priority,
+    "urgent",
+    "route alertas refers to it in field priority"
+)]
+#[case(kind::Kind::Limit, "small", "team arica refers to it in field limit")]
+#[case(kind::Kind::Team, "arica", "key arica-1 refers to it in field team")]
+fn delete_of_an_object_in_use_names_what_refers_to_it(
+    #[case] kind: kind::Kind,
+    #[case] name: &str,
+    #[case] detail: &str,
+) {
+    let mut log = started();
+
+    let outcome = log.apply(change(2, 1, vec![edit::Edit::Delete(kind, name.into())]));
+
+    let outcome::Outcome::Faulty(findings) = outcome else {
+        panic!("not faulty: {outcome:?}")
+    };
+    let all_in_use = findings
+        .iter()
+        .all(|finding| finding.code == code::Code::InUse && finding.kind == kind);
+    assert!(all_in_use, "{findings:?}");
+    assert!(findings.iter().any(|finding| &*finding.detail == detail));
+}
+
+// Guards against deletes that are refused although nothing refers to the object
+// any more.
+#[test]
+fn object_is_deleted_together_with_what_refers_to_it() {
+    let mut log = started();
+
+    let outcome = log.apply(change(
+        2,
+        1,
+        vec![
+            edit::Edit::Delete(kind::Kind::Team, "arica".into()),
+            edit::Edit::Delete(kind::Kind::Key, "arica-1".into()),
+            edit::Edit::Delete(kind::Kind::Route, "alertas".into()),
+        ],
+    ));
+
+    assert!(matches!(outcome, outcome::Outcome::Changed(_)));
+    assert!(log.catalog.view().configuration.teams.is_empty());
+}
+
+// Guards against deltas that lead to another state than the one published.
+#[test]
+fn deltas_lead_a_held_view_to_the_present_one() {
+    let mut log = started();
+    let mut view = log.catalog.view().clone();
+    log.apply(command::Command::Announce(
+        "one".into(),
+        incarnation::Incarnation(1),
+        vec![target_of("alertas")],
+    ));
+    log.apply(leaving("two", 2));
+    log.apply(change(
+        2,
+        1,
+        vec![edit::Edit::Delete(kind::Kind::Route, "alertas".into())],
+    ));
+
+    let deltas = log.catalog.since(view.version).expect("deltas are kept");
+    for delta in &deltas {
+        view.apply(delta);
+    }
+    view.version = log.catalog.version();
+
+    assert_eq!(deltas.len(), 3);
+    assert_eq!(&view, log.catalog.view());
+}
+
+// Guards against nodes that silently miss deltas that are no longer kept.
+#[test]
+fn deltas_before_the_last_20_000_are_answered_by_a_snapshot() {
+    let mut log = Log::new();
+    for id in 1..=20_002_u64 {
+        log.apply(change(u128::from(id), id - 1, vec![]));
+    }
+
+    assert!(log.catalog.since(version::Version(1)).is_none());
+    let deltas = log.catalog.since(version::Version(2));
+    assert_eq!(deltas.map(|deltas| deltas.len()), Some(20_000));
+    log.restart();
+    assert!(log.catalog.since(version::Version(20_001)).is_none());
+    assert_eq!(log.catalog.since(log.catalog.version()), Some(Vec::new()));
+}
+
+// Guards against messages of an earlier run that undo what a later one did.
+#[test]
+fn replaced_incarnation_neither_returns_nor_announces_nor_removes() {
+    let mut log = started();
+    log.apply(command::Command::Join(node("one", 11)));
+
+    let joined = log.apply(command::Command::Join(node("one", 1)));
+    let announced = log.apply(command::Command::Announce(
+        "one".into(),
+        incarnation::Incarnation(1),
+        vec![target_of("alertas")],
+    ));
+    log.apply(leaving("one", 1));
+
+    let refused = code::Code::VersionConflict;
+    assert_eq!(joined, outcome::Outcome::Refused(refused));
+    assert_eq!(
+        announced,
+        outcome::Outcome::Refused(code::Code::NoSuchObject)
+    );
+    let entry = log.catalog.node(&"one".into()).expect("the node is there");
+    assert_eq!(entry.node.incarnation, incarnation::Incarnation(11));
+    assert!(entry.targets.is_empty());
+}
+
+// Guards against a node that stays out after a network partition.
+#[test]
+fn expired_incarnation_may_join_again() {
+    let mut log = started();
+    log.apply(leaving("one", 1));
+
+    let joined = log.apply(command::Command::Join(node("one", 1)));
+
+    assert_eq!(joined, outcome::Outcome::Applied);
+    assert!(log.catalog.node(&"one".into()).is_some());
+}
+
+// Guards against renewals that fill the delta log, or a drain that ends early.
+#[test]
+fn repeated_announcement_publishes_nothing_and_keeps_a_drain() {
+    let mut log = started();
+    let announce = command::Command::Announce(
+        "one".into(),
+        incarnation::Incarnation(1),
+        vec![target_of("alertas")],
+    );
+    log.apply(announce.clone());
+    log.apply(command::Command::Drain("one".into()));
+    log.restart();
+    let published = log.catalog.published();
+
+    log.apply(announce);
+
+    let entry = log.catalog.node(&"one".into()).expect("the node is there");
+    assert_eq!(entry.targets[0].state, target::State::Draining);
+    assert_eq!(log.catalog.published(), published);
+}
+
+// Guards against a second execution of a request that another attempt holds.
+#[test]
+fn first_claim_wins_and_its_attempt_gets_the_same_result() {
+    let mut log = started();
+
+    let won = log.apply(claiming(1, attempt(1, 1)));
+    let again = log.apply(claiming(1, attempt(1, 1)));
+    let lost = log.apply(claiming(1, attempt(2, 1)));
+    let other_body = log.apply(claiming(2, attempt(2, 2)));
+
+    assert_eq!(won, outcome::Outcome::Claimed);
+    assert_eq!(again, outcome::Outcome::Claimed);
+    assert!(matches!(lost, outcome::Outcome::Held(held) if held.holder == attempt(1, 1)));
+    assert_eq!(
+        other_body,
+        outcome::Outcome::Refused(code::Code::IdempotencyMismatch)
+    );
+}
+
+// Guards against each way in which a claim could end wrongly. The claim is held
+// by attempt 1 of node 1.
+#[rstest]
+#[case::done(settling(attempt(1, 1), done()), Some("done"))]
+#[case::not_run(settling(attempt(1, 1), settlement::Settlement::NotRun), None)]
+#[case::unknown(
+    settling(attempt(1, 1), settlement::Settlement::Unknown),
+    Some("unknown")
+)]
+#[case::by_another(
+    settling(attempt(2, 1), settlement::Settlement::NotRun),
+    Some("running")
+)]
+#[case::holder_left(leaving("one", 1), Some("unknown"))]
+#[case::holder_replaced(command::Command::Join(node("one", 11)), Some("unknown"))]
+#[case::other_left(leaving("two", 2), Some("running"))]
+#[case::forgotten_too_early(command::Command::Forget(vec![subject("k")]), Some("running"))]
+fn claim_ends_as_its_holder_does(
+    #[case] command: command::Command,
+    #[case] expected: Option<&str>,
+) {
+    let mut log = started();
+    log.apply(claiming(1, attempt(1, 1)));
+    log.restart();
+
+    log.apply(command);
+
+    let ended = state(&log).map(|state| match state {
+        claim::State::Running => "running",
+        claim::State::Done(_) => "done",
+        claim::State::Unknown => "unknown",
+    });
+    assert_eq!(ended, expected);
+}
+
+// Guards against a claim that nobody can settle any more.
+#[test]
+fn claim_of_an_incarnation_that_left_is_refused() {
+    let mut log = started();
+    log.apply(leaving("one", 1));
+
+    let outcome = log.apply(claiming(1, attempt(1, 1)));
+
+    let refused = code::Code::ClaimUnavailable;
+    assert_eq!(outcome, outcome::Outcome::Refused(refused));
+    assert_eq!(state(&log), None);
+}
+
+// Guards against an execution after the claim became unknown, and against a
+// kept answer that is overwritten.
+#[test]
+fn settled_claim_is_neither_run_again_nor_changed() {
+    let mut log = started();
+    log.apply(claiming(1, attempt(1, 1)));
+    log.apply(leaving("one", 1));
+    log.apply(command::Command::Join(node("one", 1)));
+
+    let again = log.apply(claiming(1, attempt(1, 1)));
+    log.apply(settling(attempt(1, 1), done()));
+    log.apply(settling(attempt(1, 1), settlement::Settlement::NotRun));
+
+    assert!(matches!(again, outcome::Outcome::Held(_)));
+    assert!(matches!(state(&log), Some(claim::State::Done(Some(_)))));
+}
+
+// Guards against claims that are kept for ever or dropped while they run.
+#[test]
+fn settled_claims_are_listed_in_order_and_forgotten() {
+    let mut log = started();
+    log.apply(claiming(1, attempt(1, 1)));
+    assert!(
+        log.catalog
+            .settled_until(log.catalog.version(), 9)
+            .is_empty()
+    );
+    log.apply(settling(attempt(1, 1), done()));
+    let settled = log.catalog.version();
+    log.apply(change(9, 1, vec![]));
+
+    let early = log
+        .catalog
+        .settled_until(version::Version(settled.0 - 1), 9);
+    let due = log.catalog.settled_until(settled, 9);
+    log.apply(command::Command::Forget(due.clone()));
+
+    assert!(early.is_empty());
+    assert_eq!(due, vec![subject("k")]);
+    assert_eq!(state(&log), None);
+    assert!(
+        log.catalog
+            .settled_until(log.catalog.version(), 9)
+            .is_empty()
+    );
+}
+
+// Guards against a history that shows refused changes or the wrong order.
+#[test]
+fn history_lists_accepted_changes_the_newest_first() {
+    let mut log = started();
+    log.apply(change(2, 0, vec![]));
+    log.apply(change(
+        3,
+        1,
+        vec![edit::Edit::Delete(kind::Kind::Route, "alertas".into())],
+    ));
+
+    let ids: Vec<_> = log.catalog.history().map(|record| record.id).collect();
+    let newest = log.catalog.history().next().expect("a change");
+
+    assert_eq!(ids, vec![3, 1]);
+    assert_eq!(*newest.summary, [Box::from("delete route alertas")]);
+}
+
+// Guards against a damaged snapshot that stops the process.
+#[test]
+fn damaged_snapshot_is_refused() {
+    let bytes = started().catalog.encode().expect("a snapshot");
+
+    assert!(catalog::Catalog::decode(&bytes[..bytes.len() / 2]).is_err());
+}
+
+// Guards against a joined delta that is missing for a new incarnation.
+#[test]
+fn new_incarnation_is_published() {
+    let mut log = started();
+    let held = log.catalog.version();
+
+    log.apply(command::Command::Join(node("one", 11)));
+
+    let deltas = log.catalog.since(held);
+    assert_eq!(deltas, Some(vec![delta::Delta::Joined(node("one", 11))]));
+}
