Measure latency in steady state only, and test the decisions

Under exponential service times the limit settled at 34 of 70 slots: right after a change of the limit the first requests to end are the short ones, so that the reference came out too low.

Samples now count from three mean latencies after a change, and the reference follows a busy window only when it is faster by the tolerance.

--- a/crates/policy/src/limit/adaptive.rs
+++ b/crates/policy/src/limit/adaptive.rs
@@ -1,6 +1,6 @@
 //! A concurrency limit that follows the latency of the target.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::limit::window::Window;
 use crate::limit::{Limiter, sample};
@@ -18,13 +18,18 @@
 const RAMP: f64 = 1.5;
 /// Windows in use between two measurements of the reference.
 const PROBE_INTERVAL_WINDOWS: u32 = 10;
-/// Weight of a window that is faster than the reference.
-const GAIN_DOWN: f64 = 0.5;
-/// Weight of a slower window while the limit is not in use.
+/// Weight of a window that is faster than the reference by the tolerance.
+const GAIN_FASTER: f64 = 0.5;
+/// Weight of a window while the limit is not in use, so that no requests queue.
 const GAIN_IDLE: f64 = 0.1;
 /// Part of the limit from which on it counts as in use.
 const USED_PART: f64 = 0.9;
 
+/// Mean latencies to wait after a change of phase before samples count. The
+/// first requests to end are the short ones; counting them measures too low a
+/// latency and, under noise, halves the limit.
+const WARM_UP: f64 = 3.0;
+
 /// What the limiter measures at present.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
@@ -46,8 +51,9 @@
     slots: f64,
     connections: f64,
     phase: Phase,
-    settled: Option<Instant>,
+    counts_from: Option<Instant>,
     window: Window,
+    short_seconds: f64,
     reference_seconds: Option<f64>,
     windows_to_probe: u32,
 }
@@ -64,14 +70,14 @@
         self.window.add(seconds, used, now);
     }
 
-    /// Whether a request that ends now began after the limit in force had
-    /// taken effect.
-    fn counts(&mut self, sample: sample::Sample, in_flight: u32, now: Instant) -> bool {
-        if self.settled.is_none() && in_flight <= self.current() {
-            self.settled = Some(now);
+    /// Whether the latency of a request that ends now is that of the present
+    /// phase.
+    fn counts(&mut self, in_flight: u32, now: Instant) -> bool {
+        if self.counts_from.is_none() && in_flight <= self.current() {
+            let warm_up = WARM_UP * self.short_seconds;
+            self.counts_from = Some(now + Duration::from_secs_f64(warm_up));
         }
-        let begun = now.checked_sub(sample.observed()).unwrap_or(now);
-        self.settled.is_some_and(|settled| begun >= settled)
+        self.counts_from.is_some_and(|from| now >= from)
     }
 
     fn close(&mut self) {
@@ -88,6 +94,7 @@
 
     fn close_normal(&mut self, window: &Window) {
         let short = window.mean();
+        self.short_seconds = short;
         let reference = self.follow(short, window.used());
         if !window.used() {
             return;
@@ -106,12 +113,16 @@
     }
 
     /// Moves the reference towards a window where that is safe without a probe.
+    /// Small gains of a busy window are left to the next probe: following them
+    /// picks out the fast half of the noise and halves the limit.
     fn follow(&mut self, short: f64, used: bool) -> f64 {
         let reference = self.reference_seconds.unwrap_or(short);
-        let gain = match (short < reference, used) {
-            (true, _) => GAIN_DOWN,
-            (false, false) => GAIN_IDLE,
-            (false, true) => 0.0,
+        let gain = if short * TOLERANCE < reference {
+            GAIN_FASTER
+        } else if used {
+            0.0
+        } else {
+            GAIN_IDLE
         };
         let moved = reference + gain * (short - reference);
         self.reference_seconds = Some(moved);
@@ -140,7 +151,7 @@
 
     fn enter(&mut self, phase: Phase) {
         self.phase = phase;
-        self.settled = None;
+        self.counts_from = None;
     }
 }
 
@@ -152,8 +163,9 @@
             slots: f64::from(slots),
             connections,
             phase: Phase::Normal,
-            settled: None,
+            counts_from: None,
             window: Window::default(),
+            short_seconds: 0.0,
             reference_seconds: None,
             windows_to_probe: PROBE_INTERVAL_WINDOWS,
         }
@@ -168,7 +180,7 @@
     }
 
     fn completed(&mut self, sample: sample::Sample, in_flight: u32, now: Instant) {
-        if !self.counts(sample, in_flight, now) {
+        if !self.counts(in_flight, now) {
             return;
         }
         self.add(sample, in_flight, now);
--- a/crates/policy/src/shed/throttle.rs
+++ b/crates/policy/src/shed/throttle.rs
@@ -6,9 +6,10 @@
 /// target's queue supplied while the answers still tell how much it accepts.
 const FACTOR: f64 = 2.0;
 /// Requests that always pass per decay time, so that recovery is noticed.
-const PROBES: f64 = 4.0;
-/// Time constant of the counters.
-const DECAY: Duration = Duration::from_millis(500);
+const PROBES: f64 = 1.0;
+/// Time constant of the counters. The accepted part doubles about every 0.7 of
+/// it after recovery, so that even 1 in 200 grows to all within 1.2 s.
+const DECAY: Duration = Duration::from_millis(200);
 
 /// Counts requests of one service and rank and those of them that a target
 /// accepted, and refuses a part of the rest while the targets shed that rank.
--- /dev/null
+++ b/crates/policy/tests/credit.rs
@@ -0,0 +1,194 @@
+//! The bound on extra executions of a call tree.
+
+use std::time::{Duration, Instant};
+
+use fastrand::Rng;
+use masticarch_model::{attempt, incarnation, map};
+use masticarch_policy::credit::{account, loan, purse, tree};
+use masticarch_policy::ledger::table;
+
+const DEPTH: usize = 10;
+/// Attempts of a caller, its resends included.
+const RESENDS: u64 = 4;
+
+/// A call tree whose hops fail at random; counts executions by position.
+struct Tree {
+    rng: Rng,
+    executions: map::Map<String, u32>,
+    fan_out: [usize; DEPTH],
+}
+
+fn failing_tree(seed: u64) -> Tree {
+    let mut fan_out = [1; DEPTH];
+    for hop in [1, 4, 7] {
+        fan_out[hop] = 2;
+    }
+    Tree {
+        rng: Rng::with_seed(seed),
+        executions: map::Map::default(),
+        fan_out,
+    }
+}
+
+fn loan(credit: u8, repeat: bool) -> loan::Loan {
+    loan::Loan { credit, repeat }
+}
+
+impl Tree {
+    fn chance(&mut self, percent: u8) -> bool {
+        self.rng.u8(..100) < percent
+    }
+
+    /// A request at an entry node, with its retries.
+    fn request(&mut self, position: &str, depth: usize, loan: loan::Loan) -> (bool, tree::Tree) {
+        let mut purse = purse::Purse::new(loan);
+        loop {
+            let lent = purse.lend();
+            let (succeeded, tree) = self.attempt(position, depth, lent);
+            purse.take_back(tree);
+            if succeeded || !purse.retry(tree.executions) {
+                return (succeeded, purse.close());
+            }
+        }
+    }
+
+    /// One attempt, as its entry node sees it.
+    fn attempt(&mut self, position: &str, depth: usize, loan: loan::Loan) -> (bool, tree::Tree) {
+        let refused = tree::Tree {
+            credit: loan.credit,
+            executions: Some(0),
+        };
+        if self.chance(10) {
+            return (false, refused);
+        }
+        let Some(mut account) = account::Account::open(loan) else {
+            return (false, refused);
+        };
+        *self.executions.entry(position.to_owned()).or_default() += 1;
+        let succeeded = self.run(position, depth, &mut account);
+        if self.chance(10) {
+            let lost = tree::Tree {
+                credit: 0,
+                executions: None,
+            };
+            return (false, lost);
+        }
+        (succeeded, account.close())
+    }
+
+    /// The work of one execution, with its sub-calls.
+    fn run(&mut self, position: &str, depth: usize, account: &mut account::Account) -> bool {
+        let sub_calls = if depth + 1 < DEPTH {
+            self.fan_out[depth]
+        } else {
+            0
+        };
+        for index in 0..sub_calls {
+            let lent = account.lend();
+            let below = format!("{position}/{index}");
+            let (succeeded, tree) = self.request(&below, depth + 1, lent);
+            if self.chance(95) {
+                account.take_back(tree);
+            }
+            if !succeeded && self.chance(80) {
+                return false;
+            }
+        }
+        self.chance(50)
+    }
+
+    fn extra(&self) -> u32 {
+        self.executions.values().map(|count| count - 1).sum()
+    }
+}
+
+fn attempt(sequence: u64) -> attempt::Attempt {
+    attempt::Attempt {
+        node: incarnation::Incarnation(1),
+        sequence,
+    }
+}
+
+// Guards against retries that multiply with depth, fan-out and the caller's
+// own resends.
+#[test]
+fn extra_executions_stay_within_the_credit() {
+    let mut most = 0;
+    for seed in 0..20_000 {
+        let credit = u8::try_from(seed % 11).unwrap();
+        let mut tree = failing_tree(seed);
+        let mut table = table::Table::default();
+        let now = Instant::now();
+        let deadline = now + Duration::from_secs(2);
+        for sequence in 0..RESENDS {
+            let attempt = attempt(sequence);
+            let allowed = table.begin("a".into(), attempt, credit, deadline, now);
+            let (succeeded, left) = tree.request("", 0, allowed.unwrap());
+            table.end("a", attempt, left, now);
+            if succeeded {
+                break;
+            }
+        }
+
+        assert!(tree.extra() <= u32::from(credit), "seed {seed}");
+        most = most.max(tree.extra());
+    }
+    assert!(most >= 3, "the tree must use its credit: {most}");
+}
+
+// Guards against a caller's credit that grows on the way back.
+#[test]
+fn more_than_was_lent_is_not_taken_back() {
+    let mut account = account::Account::open(loan(3, false)).unwrap();
+    account.lend();
+
+    account.take_back(tree::Tree {
+        credit: 200,
+        executions: Some(1),
+    });
+
+    assert_eq!(account.close().credit, 3);
+}
+
+// Guards against a repeat that runs without credit.
+#[test]
+fn repeat_costs_one_credit_or_does_not_run() {
+    let with = account::Account::open(loan(1, true));
+    let without = account::Account::open(loan(0, true));
+
+    assert_eq!(with.map(|account| account.close().credit), Some(0));
+    assert_eq!(without, None);
+}
+
+// Guards against a lone credit that no deep call can ever use.
+#[test]
+fn half_is_rounded_up() {
+    let lent = account::Account::open(loan(1, false)).unwrap().lend();
+
+    assert_eq!(lent, loan(1, false));
+}
+
+// Guards against a count that claims to know of a sub-call still running.
+#[test]
+fn executions_are_unknown_while_a_sub_call_is_out() {
+    let mut account = account::Account::open(loan(2, false)).unwrap();
+    account.lend();
+
+    assert_eq!(account.close().executions, None);
+}
+
+// Guards against a retry that runs sub-calls again without counting them.
+#[test]
+fn retry_after_sub_calls_is_a_repeat() {
+    let mut purse = purse::Purse::new(loan(3, false));
+    let first = purse.lend();
+    purse.take_back(tree::Tree {
+        credit: first.credit,
+        executions: Some(2),
+    });
+
+    let allowed = purse.retry(Some(2));
+
+    assert!(allowed);
+    assert!(purse.lend().repeat);
+}
--- /dev/null
+++ b/crates/policy/tests/eject.rs
@@ -0,0 +1,81 @@
+//! Ejection of failing targets.
+
+use std::time::{Duration, Instant};
+
+use masticarch_policy::eject::{self, record};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+// Guards against requests that keep going to a target that only fails.
+#[test]
+fn fifth_failure_in_a_row_calls_for_ejection() {
+    let now = Instant::now();
+    let mut record = record::Record::default();
+
+    let calls = [0; 5].map(|_| record.failed(now));
+
+    assert_eq!(calls, [false, false, false, false, true]);
+}
+
+// Guards against a target that fails most requests but never five in a row.
+#[test]
+fn failing_more_than_half_calls_for_ejection() {
+    let now = Instant::now();
+    let mut record = record::Record::default();
+    let mut called = false;
+
+    for _ in 0..5 {
+        record.succeeded(now);
+        called |= record.failed(now) | record.failed(now);
+    }
+
+    assert!(called);
+}
+
+// Guards against ejecting a target for a few scattered failures.
+#[test]
+fn rare_failures_are_tolerated() {
+    let now = Instant::now();
+    let mut record = record::Record::default();
+
+    let calls = [0; 100].map(|_| {
+        (0..3).for_each(|_| record.succeeded(now));
+        record.failed(now)
+    });
+
+    assert!(!calls.contains(&true));
+}
+
+// Guards against a target that is probed too often while it stays broken, or
+// that never returns.
+#[test]
+fn ejection_doubles_and_ends_by_itself() {
+    let mut now = Instant::now();
+    let mut record = record::Record::default();
+    let mut times = Vec::new();
+
+    for _ in 0..7 {
+        record.eject(now);
+        let mut time = Duration::ZERO;
+        while record.is_ejected(now + time) {
+            time += SECOND;
+        }
+        now += time;
+        times.push(time.as_secs());
+        assert!(record.failed(now));
+    }
+
+    assert_eq!(times, [1, 2, 4, 8, 16, 30, 30]);
+}
+
+// Guards against a shared fault that ejects a whole service.
+#[test]
+fn half_of_the_targets_always_stay() {
+    for total in 0..20 {
+        let ejected = (0..total)
+            .take_while(|count| eject::allowed(*count, total))
+            .count();
+
+        assert!(ejected * 2 <= total, "{ejected} of {total}");
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/holder.rs
@@ -0,0 +1,235 @@
+//! The node's part of a fleet-wide rate.
+
+use std::time::{Duration, Instant};
+
+use fastrand::Rng;
+use masticarch_policy::share::{Share, decision, holder};
+
+fn share(rate_per_second: f64, burst: f64) -> Share {
+    Share {
+        rate_per_second,
+        burst,
+    }
+}
+
+fn granted(rate_per_second: f64, burst: f64, tokens: f64, now: Instant) -> holder::Holder<u32> {
+    let mut holder = holder::Holder::new(now);
+    holder.grant(share(rate_per_second, burst), tokens, now, now);
+    holder
+}
+
+/// A model of the owner: counts what each node may hold, and keeps the rest.
+struct Owner {
+    rate: f64,
+    burst: f64,
+    counted: Vec<Share>,
+    tokens: f64,
+    at: Instant,
+}
+
+impl Owner {
+    fn free(&self) -> Share {
+        let rate: f64 = self.counted.iter().map(|share| share.rate_per_second).sum();
+        let burst: f64 = self.counted.iter().map(|share| share.burst).sum();
+        share((self.rate - rate).max(0.0), (self.burst - burst).max(0.0))
+    }
+
+    fn advance(&mut self, now: Instant) {
+        let free = self.free();
+        let earned = (now - self.at).as_secs_f64() * free.rate_per_second;
+        self.tokens = (self.tokens + earned).min(free.burst);
+        self.at = now;
+    }
+
+    /// Takes a report and grants a random share; counts the larger share until
+    /// a report shows that the node uses the smaller one.
+    fn exchange(
+        &mut self,
+        node: usize,
+        held: Share,
+        released: f64,
+        rng: &mut Rng,
+        now: Instant,
+    ) -> (Share, f64) {
+        self.advance(now);
+        self.counted[node] = held;
+        let free = self.free();
+        self.tokens = (self.tokens + released).min(free.burst);
+        let part = rng.f64();
+        let granted = share(
+            part * (held.rate_per_second + free.rate_per_second),
+            part * (held.burst + free.burst),
+        );
+        self.counted[node] = share(
+            granted.rate_per_second.max(held.rate_per_second),
+            granted.burst.max(held.burst),
+        );
+        let moved = self.tokens.min((granted.burst - held.burst).max(0.0));
+        self.tokens = (self.tokens - moved).min(self.free().burst);
+        (granted, moved)
+    }
+}
+
+// Guards against a team that gets more than its rate and burst over all nodes
+// while shares move between them and replies are lost.
+#[test]
+fn fleet_never_exceeds_rate_and_burst() {
+    for seed in 0..30 {
+        let mut rng = Rng::with_seed(seed);
+        let mut now = Instant::now();
+        let (rate, burst) = (100.0, 40.0);
+        let mut nodes: Vec<_> = (0..6).map(|_| holder::Holder::new(now)).collect();
+        let mut owner = Owner {
+            rate,
+            burst,
+            counted: vec![Share::default(); 6],
+            tokens: burst,
+            at: now,
+        };
+        let mut level: f64 = 0.0;
+        for _ in 0..20_000 {
+            let step = Duration::from_micros(rng.u64(0..4000));
+            now += step;
+            level = (level - rate * step.as_secs_f64()).max(0.0);
+            let node = rng.usize(..6);
+            if rng.u8(..20) == 0 {
+                let report = nodes[node].report(now);
+                let (held, released) = (report.held, report.released);
+                let (granted, moved) = owner.exchange(node, held, released, &mut rng, now);
+                if rng.u8(..10) > 0 {
+                    nodes[node].grant(granted, moved, now, now);
+                }
+            }
+            let decision = nodes[node].request(0, now, now);
+            if matches!(decision, decision::Decision::Pass(_)) {
+                level += 1.0;
+            }
+            assert!(level <= burst + 1e-6, "seed {seed}: {level}");
+        }
+    }
+}
+
+// Guards against shares that live on after the owner has given them to others.
+#[test]
+fn lease_ends_five_seconds_after_the_request_was_sent() {
+    let sent = Instant::now();
+    let mut holder = holder::Holder::new(sent);
+    let arrived = sent + Duration::from_secs(3);
+    holder.grant(share(100.0, 10.0), 10.0, sent, arrived);
+
+    let before = holder.request(1, sent, sent + Duration::from_millis(4999));
+    let after = holder.request(2, sent, sent + holder::LEASE);
+
+    assert_eq!(before, decision::Decision::Pass(1));
+    assert_eq!(after, decision::Decision::Refuse(2));
+}
+
+// Guards against a reply that arrives after its lease has ended.
+#[test]
+fn late_grant_is_not_applied() {
+    let sent = Instant::now();
+    let now = sent + Duration::from_secs(6);
+    let mut holder = holder::Holder::new(sent);
+
+    holder.grant(share(100.0, 10.0), 10.0, sent, now);
+
+    assert_eq!(holder.request(1, now, now), decision::Decision::Refuse(1));
+}
+
+// Guards against tokens that exist at the node and at the owner at once.
+#[test]
+fn shrinking_releases_tokens_in_one_report_only() {
+    let now = Instant::now();
+    let mut holder = granted(10.0, 10.0, 10.0, now);
+
+    holder.grant(share(5.0, 4.0), 0.0, now, now);
+    let (first, second) = (holder.report(now), holder.report(now));
+
+    assert_eq!(first.held, share(5.0, 4.0));
+    assert!((first.released - 6.0).abs() < 1e-9);
+    assert!(second.released.abs() < 1e-9);
+}
+
+// Guards against refusals of requests that only come a little early, and
+// against newcomers that overtake them.
+#[test]
+fn requests_wait_for_tokens_in_order() {
+    let now = Instant::now();
+    let mut holder = granted(100.0, 10.0, 1.0, now);
+    let until = now + Duration::from_millis(200);
+    let decisions = [1, 2, 3].map(|item| holder.request(item, until, now));
+
+    let early = holder.next(now + Duration::from_millis(9));
+    let wake = holder.wake().unwrap();
+    let second = holder.next(wake);
+    let newcomer = holder.request(4, until, now + Duration::from_millis(21));
+    let third = holder.next(now + Duration::from_millis(21));
+
+    assert_eq!(decisions[0], decision::Decision::Pass(1));
+    assert_eq!(early, decision::Decision::Wait);
+    assert_eq!(second, decision::Decision::Pass(2));
+    assert_eq!(newcomer, decision::Decision::Wait);
+    assert_eq!(third, decision::Decision::Pass(3));
+}
+
+// Guards against a waiting request that is neither run nor refused.
+#[test]
+fn waiting_ends_in_a_refusal() {
+    let now = Instant::now();
+    let until = now + Duration::from_millis(200);
+    let mut holder = holder::Holder::new(now);
+    holder.request(1, until, now);
+
+    let wake = holder.wake();
+    let outcome = holder.next(until);
+
+    assert_eq!(wake, Some(until));
+    assert_eq!(outcome, decision::Decision::Refuse(1));
+}
+
+// Guards against a new team that waits a whole renewal period for its share.
+#[test]
+fn first_request_is_reported_at_once() {
+    let now = Instant::now();
+    let mut holder = holder::Holder::new(now);
+    let before = holder.urgent_from(now);
+
+    holder.request(1, now, now);
+
+    assert_eq!(before, None);
+    assert_eq!(holder.urgent_from(now), Some(now));
+}
+
+// Guards against a share that follows a surge only after the renewal period,
+// and against a report for each request of the surge.
+#[test]
+fn changed_demand_is_reported_after_the_interval() {
+    let now = Instant::now();
+    let mut holder = granted(100.0, 100.0, 100.0, now);
+    holder.request(0, now, now);
+    holder.report(now);
+    let steady = holder.urgent_from(now);
+
+    for item in 0..10 {
+        holder.request(item, now, now);
+    }
+
+    assert_eq!(steady, None);
+    let urgent = holder.urgent_from(now);
+    assert_eq!(urgent, Some(now + holder::URGENT_INTERVAL));
+}
+
+// Guards against demand measured wrongly, by which the owner divides the rate.
+#[test]
+fn demand_follows_the_arrival_rate() {
+    let mut now = Instant::now();
+    let mut holder = holder::Holder::new(now);
+    for item in 0..1000 {
+        now += Duration::from_millis(5);
+        holder.request(item, now, now);
+    }
+
+    let demand = holder.report(now).demand_per_second;
+
+    assert!((190.0..=210.0).contains(&demand), "{demand}");
+}
--- /dev/null
+++ b/crates/policy/tests/queue.rs
@@ -0,0 +1,180 @@
+//! Order, bounds and fairness of the admission queue.
+
+use std::time::{Duration, Instant};
+
+use fastrand::Rng;
+use masticarch_model::name;
+use masticarch_policy::queue::{bounded, bounds, offer, ticket};
+
+const WAIT: Duration = Duration::from_millis(100);
+
+fn bounds(entries: usize) -> bounds::Bounds {
+    bounds::Bounds {
+        wait: WAIT,
+        service: Duration::from_millis(20),
+        entries,
+    }
+}
+
+fn ticket(rank: u8, team: &str, weight: u16, now: Instant) -> ticket::Ticket {
+    ticket::Ticket {
+        rank,
+        team: Some(name::Name::new(team)),
+        weight,
+        deadline: now + Duration::from_secs(2),
+    }
+}
+
+fn pop_all(queue: &mut bounded::Queue<u32>, now: Instant) -> Vec<u32> {
+    std::iter::from_fn(|| queue.pop(now).map(|taken| taken.item)).collect()
+}
+
+// Guards against a request that overtakes one of a higher priority.
+#[test]
+fn higher_priority_goes_first() {
+    let now = Instant::now();
+    let mut queue = bounded::Queue::default();
+    for (item, rank) in [(0, 2), (1, 0), (2, 1), (3, 0)] {
+        queue.push(&ticket(rank, "a", 1, now), item, &bounds(10), now);
+    }
+
+    let order = pop_all(&mut queue, now);
+
+    assert_eq!(order, [1, 3, 2, 0]);
+}
+
+// Guards against one team that fills the queue and starves the others.
+#[test]
+fn teams_are_served_in_proportion_to_weight() {
+    let now = Instant::now();
+    let mut queue = bounded::Queue::default();
+    for item in 0..400 {
+        let (team, weight) = if item < 300 { ("big", 1) } else { ("small", 3) };
+        queue.push(&ticket(0, team, weight, now), item, &bounds(1000), now);
+    }
+
+    let order = pop_all(&mut queue, now);
+
+    let small = order[..120].iter().filter(|item| **item >= 300).count();
+    assert!((88..=92).contains(&small), "{small}");
+}
+
+// Guards against a team that saves up service while idle and then takes all.
+#[test]
+fn idle_team_cannot_save_up_service() {
+    let now = Instant::now();
+    let mut queue = bounded::Queue::default();
+    for item in 0..200 {
+        queue.push(&ticket(0, "busy", 1, now), item, &bounds(1000), now);
+    }
+    for _ in 0..100 {
+        queue.pop(now);
+    }
+    for item in 1000..1100 {
+        queue.push(&ticket(0, "late", 1, now), item, &bounds(1000), now);
+    }
+
+    let order = pop_all(&mut queue, now);
+
+    let late = order[..40].iter().filter(|item| **item >= 1000).count();
+    assert!((19..=21).contains(&late), "{late}");
+}
+
+// Guards against running requests whose callers have given up.
+#[test]
+fn requests_expire_before_they_cannot_end_in_time() {
+    let now = Instant::now();
+    let mut queue = bounded::Queue::default();
+    let mut short = ticket(0, "a", 1, now);
+    short.deadline = now + Duration::from_millis(50);
+    queue.push(&short, 1, &bounds(10), now);
+    queue.push(&ticket(0, "a", 1, now), 2, &bounds(10), now);
+
+    let at_30_ms = queue.expire(now + Duration::from_millis(30));
+    let later = queue.expire(now + Duration::from_millis(99));
+
+    assert_eq!(at_30_ms.map(|taken| taken.item), Some(1));
+    assert_eq!(later, None);
+    assert_eq!(queue.next_expiry(), Some(now + WAIT));
+}
+
+// Guards against work on a request that cannot end before its deadline.
+#[test]
+fn request_without_enough_time_is_turned_away() {
+    let now = Instant::now();
+    let mut queue = bounded::Queue::default();
+    let mut late = ticket(0, "a", 1, now);
+    late.deadline = now + Duration::from_millis(19);
+
+    let offer = queue.push(&late, 1, &bounds(10), now);
+
+    assert_eq!(offer, offer::Offer::TooLate(1));
+}
+
+// Guards against shedding an important request while lesser ones wait.
+#[test]
+fn full_queue_drops_the_lowest_priority_first() {
+    let now = Instant::now();
+    let mut queue = bounded::Queue::default();
+    for (item, rank) in [(0, 1), (1, 2), (2, 2)] {
+        queue.push(&ticket(rank, "a", 1, now), item, &bounds(3), now);
+    }
+
+    let higher = queue.push(&ticket(0, "a", 1, now), 3, &bounds(3), now);
+    let lower = queue.push(&ticket(3, "a", 1, now), 4, &bounds(3), now);
+
+    assert_eq!(higher, offer::Offer::Displaced(2, 2));
+    assert_eq!(lower, offer::Offer::Full(4));
+}
+
+// Guards against a flooding team that keeps others out of a full queue.
+#[test]
+fn full_queue_makes_room_for_a_team_with_less_backlog() {
+    let now = Instant::now();
+    let mut queue = bounded::Queue::default();
+    for item in 0..3 {
+        queue.push(&ticket(0, "flood", 1, now), item, &bounds(3), now);
+    }
+
+    let quiet = queue.push(&ticket(0, "quiet", 1, now), 3, &bounds(3), now);
+    let flood = queue.push(&ticket(0, "flood", 1, now), 4, &bounds(3), now);
+
+    assert_eq!(quiet, offer::Offer::Displaced(2, 0));
+    assert_eq!(flood, offer::Offer::Full(4));
+}
+
+// Guards against entries lost or served twice in any mix of operations.
+#[test]
+fn every_request_leaves_exactly_once() {
+    for seed in 0..50 {
+        let mut rng = Rng::with_seed(seed);
+        let mut now = Instant::now();
+        let mut queue = bounded::Queue::default();
+        let mut left = vec![0_u32; 2000];
+        for item in 0..2000_u32 {
+            now += Duration::from_micros(rng.u64(0..3000));
+            let team = ["a", "b", "c"][rng.usize(..3)];
+            let ticket = ticket(rng.u8(..4), team, rng.u16(1..5), now);
+            match queue.push(&ticket, item, &bounds(20), now) {
+                offer::Offer::Queued => {}
+                offer::Offer::Displaced(other, _)
+                | offer::Offer::Full(other)
+                | offer::Offer::TooLate(other) => left[other as usize] += 1,
+            }
+            while let Some(taken) = queue.expire(now) {
+                left[taken.item as usize] += 1;
+            }
+            if rng.bool() {
+                if let Some(taken) = queue.pop(now) {
+                    left[taken.item as usize] += 1;
+                }
+            }
+            assert!(queue.len() <= 20, "seed {seed}");
+        }
+        for item in queue.drain() {
+            left[item as usize] += 1;
+        }
+
+        assert!(left.iter().all(|count| *count == 1), "seed {seed}");
+    }
+}
