--- /dev/null
+++ b/crates/node/tests/admission.rs
@@ -0,0 +1,144 @@
+//! Decisions beside the target.
+
+mod fixture;
+
+use std::time::{Duration, Instant};
+
+use masticarch_model::{code, target};
+use masticarch_node::admission::message;
+
+const ANSWERED: message::End = message::End::Answered(Duration::from_millis(10));
+
+// Guards against more requests at a cold target than its first limit, and
+// against queued requests that are never answered.
+#[test]
+fn requests_beyond_the_limit_wait_and_are_refused_in_time() {
+    let (codes, waited, summary) = fixture::with_admission(true, |admission| async move {
+        let begun = Instant::now();
+        let asked = (0..5).map(|_| admission.enter(fixture::entry(3, false)));
+        let outcomes = futures::future::join_all(asked).await;
+        let waited = begun.elapsed();
+        let denied: Vec<_> = outcomes.into_iter().filter_map(Result::err).collect();
+        let codes: Vec<_> = denied.iter().map(|(refusal, _)| refusal.code).collect();
+        (codes, waited, denied[0].1)
+    });
+
+    assert_eq!(codes, [code::Code::Overloaded; 3]);
+    assert!(waited < Duration::from_millis(150), "{waited:?}");
+    assert_eq!((summary.credit, summary.executions), (3, Some(0)));
+    assert_eq!(summary.overload, 0);
+}
+
+// Guards against slots that stay taken after a call has ended.
+#[test]
+fn ended_call_makes_room_for_a_waiting_one() {
+    let summary = fixture::with_admission(true, |admission| async move {
+        let first = admission.enter(fixture::entry(3, false)).await.unwrap();
+        admission.enter(fixture::entry(3, false)).await.unwrap();
+        let third = admission.enter(fixture::entry(3, false));
+        let leave = admission.leave(&first, ANSWERED);
+        let (third, summary) = futures::join!(third, leave);
+        assert!(third.is_ok());
+        summary
+    });
+
+    assert_eq!((summary.credit, summary.executions), (3, Some(1)));
+}
+
+// Guards against a guessed or outlived context that runs under another's team.
+#[test]
+fn context_is_valid_only_while_its_call_runs() {
+    let (valid, forged, malformed, ended) = fixture::with_admission(true, |admission| async move {
+        let permit = admission.enter(fixture::entry(3, false)).await.unwrap();
+        let mut forged = permit.context.to_string();
+        let last = if forged.ends_with('0') { "1" } else { "0" };
+        forged.replace_range(forged.len() - 1.., last);
+        let valid = admission.lend(&permit.context).await;
+        let forged = admission.lend(&forged).await;
+        let malformed = admission.lend("\u{e9}context").await;
+        admission.leave(&permit, ANSWERED).await;
+        let ended = admission.lend(&permit.context).await;
+        (valid, forged, malformed, ended)
+    });
+
+    assert_eq!(valid.map(|loan| loan.credit), Some(2));
+    assert!(forged.is_none() && malformed.is_none() && ended.is_none());
+}
+
+// Guards against sub-calls that go on after their parent has ended.
+#[test]
+fn sub_calls_are_cancelled_when_the_parent_ends() {
+    let (before, after) = fixture::with_admission(true, |admission| async move {
+        let permit = admission.enter(fixture::entry(3, false)).await.unwrap();
+        let loan = admission.lend(&permit.context).await.unwrap();
+        let before = loan.ended.is_set();
+        admission.leave(&permit, ANSWERED).await;
+        (before, loan.ended.is_set())
+    });
+
+    assert!(!before);
+    assert!(after);
+}
+
+// Guards against a call tree that spends its credit twice.
+#[test]
+fn credit_of_sub_calls_comes_back_with_their_executions() {
+    let summary = fixture::with_admission(true, |admission| async move {
+        let permit = admission.enter(fixture::entry(3, false)).await.unwrap();
+        admission.lend(&permit.context).await.unwrap();
+        let back = message::Message::Return(permit.call, 1, Some(2));
+        admission.address.send(back).await.unwrap();
+        admission.leave(&permit, ANSWERED).await
+    });
+
+    assert_eq!((summary.credit, summary.executions), (2, Some(3)));
+}
+
+// Guards against a repeat that runs without credit.
+#[test]
+fn repeat_without_credit_is_refused() {
+    let outcome = fixture::with_admission(true, |admission| async move {
+        admission.enter(fixture::entry(0, true)).await
+    });
+
+    assert_eq!(outcome.unwrap_err().0.code, code::Code::RetryBudget);
+}
+
+// Guards against credit that is charged for a request that never left the node.
+#[test]
+fn request_that_was_not_sent_costs_nothing() {
+    let summary = fixture::with_admission(true, |admission| async move {
+        let permit = admission.enter(fixture::entry(2, true)).await.unwrap();
+        admission.leave(&permit, message::End::NotRun).await
+    });
+
+    assert_eq!((summary.credit, summary.executions), (2, Some(0)));
+}
+
+// Guards against new work at a target that is leaving or gone.
+#[test]
+fn leaving_and_missing_targets_refuse() {
+    let codes = fixture::with_admission(true, |admission| async move {
+        admission.announce(target::State::Draining).await;
+        let draining = admission.enter(fixture::entry(3, false)).await;
+        let gone = fixture::target("guiones", target::State::Draining);
+        let message = message::Message::Target(gone, None);
+        admission.address.send(message).await.unwrap();
+        let gone = admission.enter(fixture::entry(3, false)).await;
+        [draining, gone].map(|outcome| outcome.unwrap_err().0.code)
+    });
+
+    assert_eq!(codes, [code::Code::Draining, code::Code::NoTarget]);
+}
+
+// Guards against a baseline that still limits or charges.
+#[test]
+fn baseline_lets_everything_run() {
+    let running = fixture::with_admission(false, |admission| async move {
+        let asked = (0..500).map(|_| admission.enter(fixture::entry(0, true)));
+        let outcomes = futures::future::join_all(asked).await;
+        outcomes.iter().filter(|outcome| outcome.is_ok()).count()
+    });
+
+    assert_eq!(running, 500);
+}
--- /dev/null
+++ b/crates/node/tests/gate.rs
@@ -0,0 +1,281 @@
+//! Decisions where a request enters the fleet.
+
+mod fixture;
+
+use std::time::{Duration, Instant};
+
+use masticarch_model::{code, ran};
+use masticarch_node::gate::{choice, message, report, request};
+use masticarch_node::{origin, refusal};
+
+fn code_of<T>(outcome: Result<T, refusal::Refusal>) -> Option<code::Code> {
+    outcome.err().map(|refusal| refusal.code)
+}
+
+fn refused(choice: &choice::Choice) -> report::Report {
+    report::Report {
+        failure: Some(code::Code::Overloaded),
+        status: None,
+        ran: ran::Ran::No,
+        executions: Some(0),
+        ..fixture::answered(choice)
+    }
+}
+
+fn failed(choice: &choice::Choice) -> report::Report {
+    report::Report {
+        failure: Some(code::Code::TargetFailed),
+        status: None,
+        ran: ran::Ran::Unknown,
+        credit: 0,
+        executions: None,
+        ..fixture::answered(choice)
+    }
+}
+
+// Guards against requests that run for a team whose key did not come with them.
+#[test]
+fn keys_are_checked_on_routes_with_teams() {
+    let mut forged = fixture::secret(1).reveal();
+    forged.replace_range(forged.len() - 1.., "f");
+    let cases = [
+        (fixture::request("/alertas", None), code::Code::NoKey),
+        (
+            fixture::request("/alertas", Some("mk_")),
+            code::Code::UnknownKey,
+        ),
+        (
+            fixture::request("/alertas", Some(&forged)),
+            code::Code::UnknownKey,
+        ),
+        (fixture::keyed("/alertas", 200), code::Code::UnknownKey),
+        (fixture::keyed("/alertas", 9), code::Code::KeyWithdrawn),
+        (fixture::keyed("/alertas", 5), code::Code::WrongTeam),
+        (fixture::keyed("/other", 1), code::Code::NoRoute),
+    ];
+
+    let codes = fixture::with_gate(true, &fixture::view(1, 2), |gate| async move {
+        let mut codes = Vec::new();
+        for (request, expected) in cases {
+            codes.push((code_of(gate.begin(request).await), Some(expected)));
+        }
+        codes
+    });
+
+    for (actual, expected) in codes {
+        assert_eq!(actual, expected);
+    }
+}
+
+// Guards against a withdrawn key that works on at a node that is cut off, and
+// against open routes that stop with it.
+#[test]
+fn node_that_is_not_current_serves_open_routes_only() {
+    let view = fixture::view(1, 2);
+    let (keyed, open) = fixture::with_gate(true, &fixture::view(0, 0), |gate| async move {
+        let old = Instant::now().checked_sub(Duration::from_secs(6)).unwrap();
+        gate.install(&view, old).await;
+        // The fixture has confirmed the empty directory just now.
+        monoio::time::sleep(Duration::from_millis(5050)).await;
+        let keyed = gate.begin(fixture::keyed("/alertas", 1)).await;
+        let open = gate.begin(fixture::request("/open", None)).await;
+        (keyed, open)
+    });
+
+    assert_eq!(code_of(keyed), Some(code::Code::NotCurrent));
+    assert!(open.is_ok());
+}
+
+// Guards against a team above its rate, and against a first request that is
+// refused although a share was granted while it waited.
+#[test]
+fn rate_is_held_and_first_request_waits_for_its_share() {
+    let (reported, first, second) =
+        fixture::with_gate(true, &fixture::view(1, 2), |gate| async move {
+            gate.reports().await;
+            let owner = gate.clone();
+            let lease = monoio::spawn(async move {
+                let reports = owner.reports().await;
+                owner.grant(1, 0.1, 1.0).await;
+                reports
+            });
+            let first = gate.begin(fixture::keyed("/alertas", 1)).await;
+            let second = gate.begin(fixture::keyed("/alertas", 1)).await;
+            (lease.await, first, second)
+        });
+
+    assert_eq!(reported.len(), 1);
+    assert!(first.is_ok());
+    assert_eq!(code_of(second), Some(code::Code::OverRate));
+}
+
+// Guards against a lease task that polls, or that waits for a renewal although
+// a team has no share.
+#[test]
+fn reports_wait_until_something_is_urgent() {
+    let (urgent, regular) = fixture::with_gate(true, &fixture::view(1, 2), |gate| async move {
+        gate.reports().await;
+        let asked = Instant::now();
+        let caller = gate.clone();
+        monoio::spawn(async move { caller.begin(fixture::keyed("/alertas", 1)).await });
+        gate.reports().await;
+        let urgent = asked.elapsed();
+        gate.grant(1, 10.0, 10.0).await;
+        let asked = Instant::now();
+        gate.reports().await;
+        (urgent, asked.elapsed())
+    });
+
+    assert!(urgent < Duration::from_millis(100), "{urgent:?}");
+    assert!(regular > Duration::from_millis(900), "{regular:?}");
+}
+
+// Guards against more attempts than the route's credit pays for.
+#[test]
+fn attempts_are_bounded_by_credit() {
+    let (attempts, total) = fixture::with_gate(true, &fixture::view(1, 8), |gate| async move {
+        let admission = gate.begin(fixture::request("/open", None)).await.unwrap();
+        let mut choice = admission.choice.clone();
+        let mut attempts = 1;
+        while let Some(next) = gate.next(&admission, refused(&choice)).await {
+            choice = next;
+            attempts += 1;
+        }
+        (attempts, gate.end(&admission, Some(refused(&choice))).await)
+    });
+
+    assert_eq!(attempts, 4);
+    assert_eq!(total.credit, 0);
+    assert_eq!(total.executions, Some(0));
+}
+
+// Guards against a non-idempotent request that runs twice.
+#[test]
+fn non_idempotent_request_that_may_have_run_is_not_retried() {
+    let (after_failure, after_refusal) =
+        fixture::with_gate(true, &fixture::view(1, 8), |gate| async move {
+            gate.grant(1, 10.0, 10.0).await;
+            let first = gate.begin(fixture::keyed("/alertas", 1)).await.unwrap();
+            let second = gate.begin(fixture::keyed("/alertas", 1)).await.unwrap();
+            let after_failure = gate.next(&first, failed(&first.choice)).await;
+            let after_refusal = gate.next(&second, refused(&second.choice)).await;
+            (after_failure, after_refusal)
+        });
+
+    assert!(after_failure.is_none());
+    assert!(after_refusal.is_some());
+}
+
+// Guards against retries at the target that has just failed.
+#[test]
+fn retry_goes_to_another_target_with_the_repeat_mark() {
+    for _ in 0..20 {
+        let (first, second) = fixture::with_gate(true, &fixture::view(1, 2), |gate| async move {
+            let admission = gate.begin(fixture::request("/open", None)).await.unwrap();
+            let next = gate.next(&admission, failed(&admission.choice)).await;
+            (admission.choice, next.unwrap())
+        });
+
+        assert_ne!(first.node, second.node);
+        assert!(second.repeat);
+        assert_eq!((first.credit, second.credit), (2, 1));
+    }
+}
+
+// Guards against a new directory that resets what is known of targets, so that
+// ejected ones get requests again with every change of configuration.
+#[test]
+fn ejection_outlives_a_new_directory() {
+    let nodes = fixture::with_gate(true, &fixture::view(1, 2), |gate| async move {
+        for _ in 0..40 {
+            let admission = gate.begin(fixture::request("/open", None)).await.unwrap();
+            let fails = admission.choice.node.as_str() == "node-1";
+            let report = if fails {
+                failed(&admission.choice)
+            } else {
+                fixture::answered(&admission.choice)
+            };
+            gate.end(&admission, Some(report)).await;
+        }
+        gate.install(&fixture::view(2, 2), Instant::now()).await;
+        let mut nodes = Vec::new();
+        for _ in 0..20 {
+            let admission = gate.begin(fixture::request("/open", None)).await.unwrap();
+            nodes.push(admission.choice.node.to_string());
+        }
+        nodes
+    });
+
+    assert_eq!(nodes, vec!["node-0"; 20]);
+}
+
+// Guards against work for requests that every target would refuse, and against
+// refusing the highest priority with them.
+#[test]
+fn sheds_early_when_every_target_sheds_the_rank() {
+    let (normal, urgent) = fixture::with_gate(true, &fixture::view(1, 2), |gate| async move {
+        gate.grant(1, 1000.0, 1000.0).await;
+        let mut normal = Vec::new();
+        for _ in 0..200 {
+            match gate.begin(fixture::keyed("/guiones", 1)).await {
+                Ok(admission) => {
+                    let mut report = refused(&admission.choice);
+                    report.overload = Some(0);
+                    gate.end(&admission, Some(report)).await;
+                }
+                Err(refusal) => normal.push(refusal.code),
+            }
+        }
+        (normal, gate.begin(fixture::keyed("/alertas", 1)).await)
+    });
+
+    assert!(normal.len() > 100, "{}", normal.len());
+    assert!(normal.iter().all(|code| *code == code::Code::Overloaded));
+    assert!(urgent.is_ok());
+}
+
+// Guards against a sub-call that escapes the deadline, rank, team or credit of
+// its root request, or that costs another token.
+#[test]
+fn sub_call_inherits_from_its_parent() {
+    let admission = fixture::with_admission(true, |admission| async move {
+        let permit = admission.enter(fixture::entry(3, false)).await.unwrap();
+        admission.lend(&permit.context).await.unwrap()
+    });
+    let parent = admission.clone();
+    let request = request::Request {
+        origin: origin::Origin::SubCall(admission),
+        ..fixture::request("/alertas", None)
+    };
+
+    let (sub_call, drained) = fixture::with_gate(true, &fixture::view(1, 2), |gate| async move {
+        let sub_call = gate.begin(request).await.unwrap();
+        gate.address.send(message::Message::Drain).await.unwrap();
+        let drained = gate.begin(fixture::keyed("/alertas", 1)).await;
+        (sub_call, drained)
+    });
+
+    assert_eq!(sub_call.root, parent.root);
+    assert_eq!(sub_call.team, parent.team);
+    assert_eq!(sub_call.rank, 1);
+    assert!(sub_call.deadline <= parent.deadline);
+    assert_eq!(sub_call.choice.credit, 1);
+    assert_eq!(code_of(drained), Some(code::Code::Draining));
+}
+
+// Guards against a baseline that differs from a usual proxy.
+#[test]
+fn baseline_tries_three_times_on_any_failure_without_a_rate() {
+    let attempts = fixture::with_gate(false, &fixture::view(1, 8), |gate| async move {
+        let admission = gate.begin(fixture::keyed("/alertas", 1)).await.unwrap();
+        let mut choice = admission.choice.clone();
+        let mut attempts = 1;
+        while let Some(next) = gate.next(&admission, failed(&choice)).await {
+            choice = next;
+            attempts += 1;
+        }
+        attempts
+    });
+
+    assert_eq!(attempts, 3);
+}
--- a/crates/policy/tests/queue.rs
+++ b/crates/policy/tests/queue.rs
@@ -164,10 +164,10 @@
             while let Some(taken) = queue.expire(now) {
                 left[taken.item as usize] += 1;
             }
-            if rng.bool() {
-                if let Some(taken) = queue.pop(now) {
-                    left[taken.item as usize] += 1;
-                }
+            if rng.bool()
+                && let Some(taken) = queue.pop(now)
+            {
+                left[taken.item as usize] += 1;
             }
             assert!(queue.len() <= 20, "seed {seed}");
         }
