Commit commands through consensus and the durable log

Cause: the control role committed in memory and lost everything at its end.

Ruled out: adapting two sets of message types (they were equal); one call at a time to each member, which would bind replication to a round trip between regions per message.

Change: the agreement service takes the place of the one-member log; a service for messages to other members, pipelined, bounded and dropped when out of date. The first leader that a group ever had grants rate at once, because a leader confirms nothing before it has committed an entry of its own, so an empty log means that nothing was leased.

--- a/crates/agreement/src/agreement/mod.rs
+++ b/crates/agreement/src/agreement/mod.rs
@@ -226,6 +226,7 @@
             role: self.stage.role(),
             term: self.vote.term,
             leader,
+            first: self.stage.leader().is_some_and(|leader| leader.first),
         }
     }
 
--- a/crates/agreement/src/leader.rs
+++ b/crates/agreement/src/leader.rs
@@ -4,7 +4,7 @@
 
 use masticarch_model::member;
 
-use crate::{index, log, membership, message, options, peer, progress, rounds};
+use crate::{index, log, membership, message, options, peer, progress, rounds, term};
 
 /// A message body with its receiver.
 #[derive(Debug)]
@@ -24,6 +24,10 @@
     pub rounds: rounds::Rounds,
     /// When the next heartbeat is due.
     pub heartbeat_due: Duration,
+    /// Whether no member can have acted as leader before: the log held no entry
+    /// of an earlier term, and a leader confirms nothing before it has committed
+    /// an entry of its own.
+    pub first: bool,
 }
 
 impl Leader {
@@ -34,6 +38,7 @@
             members: Vec::new(),
             rounds: rounds::Rounds::default(),
             heartbeat_due: now,
+            first: log.last().term == term::Term::default(),
         };
         leader.follow(log, now);
         leader
--- a/crates/agreement/src/stage.rs
+++ b/crates/agreement/src/stage.rs
@@ -29,6 +29,14 @@
     }
 
     /// The leader's state, if this member leads.
+    pub const fn leader(&self) -> Option<&leader::Leader> {
+        match self {
+            Self::Leader(leader) => Some(leader),
+            _ => None,
+        }
+    }
+
+    /// The state of a leader, for changes.
     pub fn leader_mut(&mut self) -> Option<&mut leader::Leader> {
         match self {
             Self::Leader(leader) => Some(leader),
--- a/crates/agreement/src/status.rs
+++ b/crates/agreement/src/status.rs
@@ -13,4 +13,6 @@
     pub term: term::Term,
     /// The leader of that term, if known.
     pub leader: Option<member::Id>,
+    /// Whether this member leads and no member can have led before.
+    pub first: bool,
 }
--- a/crates/control/src/agreement/event.rs
+++ b/crates/control/src/agreement/event.rs
@@ -11,6 +11,26 @@
     pub bytes: Vec<u8>,
 }
 
+/// Whether a member leads the group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Leadership {
+    /// It does not lead.
+    None,
+    /// It is the first leader that the group ever had, so that nothing was
+    /// leased before.
+    First,
+    /// It leads after others.
+    Later,
+}
+
+impl Leadership {
+    /// Whether the member leads.
+    #[must_use]
+    pub const fn leads(self) -> bool {
+        !matches!(self, Self::None)
+    }
+}
+
 /// Sent to the owner of the replicated state, whose messages are made from it.
 #[derive(Debug)]
 pub enum Event {
@@ -22,5 +42,5 @@
     /// Asks for the state; `None` when it cannot be encoded.
     TakeSnapshot(reply::Reply<Option<Snapshot>>),
     /// Whether this member leads; sent once for each term that it leads.
-    Role(bool),
+    Role(Leadership),
 }
--- a/crates/control/src/agreement/service.rs
+++ b/crates/control/src/agreement/service.rs
@@ -241,7 +241,7 @@
         self.failed = true;
         self.waiting.fail();
         if self.leading.take().is_some() {
-            let _ = self.tell(event::Event::Role(false)).await;
+            let _ = self.tell(event::Event::Role(event::Leadership::None)).await;
         }
     }
 
@@ -325,7 +325,12 @@
             "role changed"
         );
         self.leading = leading;
-        self.tell(event::Event::Role(leading.is_some())).await
+        let leadership = match leading {
+            None => event::Leadership::None,
+            Some(_) if status.first => event::Leadership::First,
+            Some(_) => event::Leadership::Later,
+        };
+        self.tell(event::Event::Role(leadership)).await
     }
 
     async fn install(&mut self, installed: agreed_snapshot::Snapshot) -> Result<(), error::Error> {
--- a/crates/control/src/allotment/message.rs
+++ b/crates/control/src/allotment/message.rs
@@ -3,11 +3,13 @@
 use masticarch_kernel::reply;
 use masticarch_policy::share::lease;
 
+use crate::agreement::event;
+
 /// Asked of the service [`crate::name::ALLOTMENT`].
 #[derive(Debug)]
 pub enum Message {
     /// Whether this process leads; each term gets a new owner.
-    Role(bool),
+    Role(event::Leadership),
     /// The limits of all teams.
     Limits(Vec<lease::Limit>),
     /// Decides on a node's reports; `None` when this process does not lead or
--- a/crates/control/src/allotment/service.rs
+++ b/crates/control/src/allotment/service.rs
@@ -6,6 +6,7 @@
 use masticarch_policy::share::{lease, owner};
 
 use super::message;
+use crate::agreement::event as log;
 use crate::event;
 
 /// Time between clean-ups of ended leases.
@@ -40,7 +41,7 @@
     /// Handles one message. Nobody waiting for a reply any more is no error.
     fn handle(&mut self, message: message::Message, now: Instant) {
         match message {
-            message::Message::Role(leads) => self.change_role(leads, now),
+            message::Message::Role(leadership) => self.change_role(leadership, now),
             message::Message::Limits(limits) => self.set_limits(limits, now),
             message::Message::Renew(request, reply) => {
                 let owner = self.owner.as_mut();
@@ -53,8 +54,12 @@
         }
     }
 
-    fn change_role(&mut self, leads: bool, now: Instant) {
-        self.owner = leads.then(|| owner::Owner::new(now));
+    fn change_role(&mut self, leadership: log::Leadership, now: Instant) {
+        self.owner = match leadership {
+            log::Leadership::None => None,
+            log::Leadership::First => Some(owner::Owner::first(now)),
+            log::Leadership::Later => Some(owner::Owner::new(now)),
+        };
         if let Some(owner) = &mut self.owner {
             owner.set_limits(now, &self.limits);
         }
--- a/crates/control/src/error.rs
+++ b/crates/control/src/error.rs
@@ -13,6 +13,12 @@
             source(source)
             display("cannot listen on {address}: {source}")
         }
+        /// The data directory cannot be used.
+        Journal(source: crate::journal::Error) {
+            from()
+            source(source)
+            display("{source}")
+        }
         /// Services cannot be connected.
         Kernel(source: masticarch_kernel::error::Error) {
             from()
--- a/crates/control/src/name.rs
+++ b/crates/control/src/name.rs
@@ -4,6 +4,8 @@
 
 /// The replicated log.
 pub const AGREEMENT: Name = Name::new("agreement");
+/// Connections to the other members.
+pub const OUTBOUND: Name = Name::new("outbound");
 /// Owner of the catalog.
 pub const REGISTRY: Name = Name::new("registry");
 /// Owner of the rate shares.
--- a/crates/control/src/operator/call.rs
+++ b/crates/control/src/operator/call.rs
@@ -5,7 +5,7 @@
 use masticarch_wire::message::operator;
 
 use super::status;
-use crate::{log, registry, services};
+use crate::{agreement, registry, services};
 
 /// Answers one call of an operator who has proved to hold a credential.
 pub async fn answer(
@@ -54,15 +54,21 @@
         operator::Request::Drain(name) => drain(services, name).await,
         operator::Request::AddMember(member) => {
             member_change(services, |reply| {
-                log::message::Message::AddLearner(member, reply)
+                agreement::message::Message::AddLearner(member, reply)
             })
             .await
         }
         operator::Request::PromoteMember(id) => {
-            member_change(services, |reply| log::message::Message::Promote(id, reply)).await
+            member_change(services, |reply| {
+                agreement::message::Message::Promote(id, reply)
+            })
+            .await
         }
         operator::Request::RemoveMember(id) => {
-            member_change(services, |reply| log::message::Message::Remove(id, reply)).await
+            member_change(services, |reply| {
+                agreement::message::Message::Remove(id, reply)
+            })
+            .await
         }
     }
 }
@@ -95,7 +101,7 @@
 
 async fn member_change(
     services: &services::Services,
-    build: impl FnOnce(reply::Reply<Result<(), code::Code>>) -> log::message::Message,
+    build: impl FnOnce(reply::Reply<Result<(), code::Code>>) -> agreement::message::Message,
 ) -> Result<operator::Reply, code::Code> {
     services.log.ask(build).await?;
     Ok(operator::Reply::Done)
--- /dev/null
+++ b/crates/control/src/outbound/peer.rs
@@ -0,0 +1,96 @@
+//! The connection to one member.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures::stream::FuturesUnordered;
+use futures::{FutureExt, StreamExt};
+use masticarch_kernel::mailbox;
+use masticarch_wire::masticarch_capnp::member;
+use masticarch_wire::{error, handshake, rpc};
+
+/// Time for a message to be taken by the member. A connection that has gone
+/// silent is given up after it, well before the next election would be lost to
+/// it twice.
+const TIMEOUT: Duration = Duration::from_millis(500);
+/// Pause after a failed connection, about one heartbeat.
+const PAUSE: Duration = Duration::from_millis(75);
+/// Messages on the way at once, more than two rounds of heartbeats and appends
+/// over the slowest link.
+const MAX_SENT: usize = 64;
+
+/// The connection to one member; opened on demand and again after a failure.
+pub struct Peer {
+    address: SocketAddr,
+    credential: handshake::Credential,
+}
+
+impl Peer {
+    /// Makes a connection that is not open yet.
+    pub const fn new(address: SocketAddr, credential: handshake::Credential) -> Self {
+        Self {
+            address,
+            credential,
+        }
+    }
+
+    /// Sends messages until their queue is dropped.
+    pub async fn run(self, mut mailbox: mailbox::Mailbox<Vec<u8>>) {
+        while let Some(first) = mailbox.receive().await {
+            let outcome = self.send_all(first, &mut mailbox).await;
+            if let Err(failure) = outcome {
+                tracing::debug!(address = %self.address, error = %failure, "member not reached");
+                monoio::time::sleep(PAUSE).await;
+                // What waited meanwhile is out of date.
+                while mailbox.try_receive().is_some() {}
+            }
+        }
+    }
+
+    /// Opens a connection and sends messages on it until it fails or the queue
+    /// is dropped.
+    async fn send_all(
+        &self,
+        first: Vec<u8>,
+        mailbox: &mut mailbox::Mailbox<Vec<u8>>,
+    ) -> Result<(), error::Error> {
+        let role = handshake::Role::Member;
+        let client: member::Client = rpc::connect(self.address, role, &self.credential).await?;
+        let mut sent = FuturesUnordered::new();
+        sent.push(send(&client, &first));
+        loop {
+            let has_room = sent.len() < MAX_SENT;
+            futures::select_biased! {
+                outcome = sent.select_next_some() => outcome?,
+                message = next(mailbox, has_room).fuse() => match message {
+                    Some(message) => sent.push(send(&client, &message)),
+                    None => return Ok(()),
+                },
+            }
+        }
+    }
+}
+
+/// The next message of the queue, or none as long as there is no room.
+async fn next(mailbox: &mut mailbox::Mailbox<Vec<u8>>, has_room: bool) -> Option<Vec<u8>> {
+    if !has_room {
+        return futures::future::pending().await;
+    }
+    mailbox.receive().await
+}
+
+/// Sends a message at once and resolves when the member has taken it.
+fn send(
+    client: &member::Client,
+    message: &[u8],
+) -> impl Future<Output = Result<(), error::Error>> + use<> {
+    let mut request = client.agree_request();
+    request.get().set_message(message);
+    let response = request.send().promise;
+    async move {
+        monoio::time::timeout(TIMEOUT, response)
+            .await
+            .map_err(|_| error::Error::Timeout)??;
+        Ok(())
+    }
+}
--- a/crates/control/src/registry/client.rs
+++ b/crates/control/src/registry/client.rs
@@ -5,12 +5,12 @@
 use masticarch_wire::message as wire;
 
 use super::message;
-use crate::log;
+use crate::agreement;
 
 /// Commits commands and returns their results; cheap to clone.
 #[derive(Clone, Debug)]
 pub struct Client {
-    log: log::client::Client,
+    log: agreement::client::Client,
     registry: address::Address<message::Message>,
 }
 
@@ -18,7 +18,7 @@
     /// Makes a client of a log and its registry.
     #[must_use]
     pub const fn new(
-        log: log::client::Client,
+        log: agreement::client::Client,
         registry: address::Address<message::Message>,
     ) -> Self {
         Self { log, registry }
@@ -34,7 +34,7 @@
         let asked = self
             .registry
             .ask(|reply| message::Message::Outcome(index, reply));
-        match monoio::time::timeout(log::client::TIMEOUT, asked).await {
+        match monoio::time::timeout(agreement::client::TIMEOUT, asked).await {
             Ok(Ok(Some(outcome))) => Ok(outcome),
             Ok(Ok(None) | Err(_)) | Err(_) => Err(code::Code::TimeoutOutcomeUnknown),
         }
--- a/crates/control/src/registry/message.rs
+++ b/crates/control/src/registry/message.rs
@@ -5,7 +5,8 @@
     catalog, change, claim, incarnation, name, node, outcome, target, version, view,
 };
 
-use super::{answer, presence, snapshot};
+use super::{answer, presence};
+use crate::agreement::event;
 
 /// Asked of the service [`crate::name::REGISTRY`].
 #[derive(Debug)]
@@ -13,12 +14,12 @@
     /// The entry at this index is committed; an empty one holds no command.
     /// Sent in the order of the log.
     Committed(u64, Vec<u8>),
-    /// Replaces the catalog by this snapshot, complete up to this index.
-    Install(u64, Vec<u8>),
+    /// Replaces the catalog.
+    Install(event::Snapshot),
     /// Encodes the catalog; `None` when it cannot be encoded.
-    TakeSnapshot(reply::Reply<Option<snapshot::Snapshot>>),
+    TakeSnapshot(reply::Reply<Option<event::Snapshot>>),
     /// Whether this process leads; sent once for each term that it leads.
-    Role(bool),
+    Role(event::Leadership),
     /// The result of the command at an index, once it is applied; `None` when
     /// it is no longer kept.
     Outcome(u64, reply::Reply<Option<outcome::Outcome>>),
@@ -45,3 +46,14 @@
     /// The whole view.
     View(reply::Reply<view::View>),
 }
+
+impl From<event::Event> for Message {
+    fn from(event: event::Event) -> Self {
+        match event {
+            event::Event::Committed(index, command) => Self::Committed(index, command),
+            event::Event::Install(snapshot) => Self::Install(snapshot),
+            event::Event::TakeSnapshot(reply) => Self::TakeSnapshot(reply),
+            event::Event::Role(leadership) => Self::Role(leadership),
+        }
+    }
+}
--- a/crates/control/src/registry/mod.rs
+++ b/crates/control/src/registry/mod.rs
@@ -8,5 +8,4 @@
 pub mod presence;
 mod retention;
 pub mod service;
-pub mod snapshot;
 pub mod sweep;
--- a/crates/control/src/registry/service.rs
+++ b/crates/control/src/registry/service.rs
@@ -7,7 +7,8 @@
 use masticarch_policy::share::lease;
 use masticarch_wire::message as wire;
 
-use super::{answer, message, outcomes, polls, presence, retention, snapshot};
+use super::{answer, message, outcomes, polls, presence, retention};
+use crate::agreement::event as log;
 use crate::{allotment, event, membership, metrics};
 
 /// Time between clean-ups of abandoned polls.
@@ -66,8 +67,8 @@
     async fn handle(&mut self, message: message::Message) {
         match message {
             message::Message::Committed(index, bytes) => self.commit(index, &bytes).await,
-            message::Message::Install(index, bytes) => self.install(index, &bytes).await,
-            message::Message::Role(leads) => self.change_role(leads).await,
+            message::Message::Install(snapshot) => self.install(snapshot).await,
+            message::Message::Role(leadership) => self.change_role(leadership).await,
             message::Message::Outcome(index, reply) => self.outcomes.answer(index, reply),
             message::Message::Poll(held, reply) => self.polls.add(&self.catalog, held, reply),
             other => self.read(other),
@@ -154,8 +155,14 @@
         }
     }
 
-    async fn install(&mut self, index: u64, bytes: &[u8]) {
-        match catalog::Catalog::decode(bytes) {
+    async fn install(&mut self, snapshot: log::Snapshot) {
+        let index = snapshot.index;
+        if snapshot.bytes.is_empty() {
+            self.catalog.advance(index);
+            self.outcomes.restart(index);
+            return;
+        }
+        match catalog::Catalog::decode(&snapshot.bytes) {
             Ok(catalog) => self.catalog = catalog,
             Err(error) => {
                 tracing::error!(index, %error, "snapshot of the catalog cannot be decoded");
@@ -168,8 +175,8 @@
         self.send_limits().await;
     }
 
-    async fn change_role(&mut self, leads: bool) {
-        tracing::info!(leads, "role changed");
+    async fn change_role(&mut self, leadership: log::Leadership) {
+        let leads = leadership.leads();
         self.leads = leads;
         self.retention.clear();
         self.metrics.leads(leads);
@@ -179,7 +186,7 @@
             .await;
         let _ = self
             .allotment
-            .send(allotment::message::Message::Role(leads))
+            .send(allotment::message::Message::Role(leadership))
             .await;
         self.send_limits().await;
     }
@@ -192,10 +199,10 @@
             .await;
     }
 
-    fn snapshot(&self) -> Option<snapshot::Snapshot> {
+    fn snapshot(&self) -> Option<log::Snapshot> {
         let bytes = self.catalog.encode();
         let bytes = bytes.inspect_err(|error| tracing::error!(%error, "no snapshot taken"));
-        Some(snapshot::Snapshot {
+        Some(log::Snapshot {
             index: self.catalog.version().0,
             bytes: bytes.ok()?,
         })
--- a/crates/control/src/role.rs
+++ b/crates/control/src/role.rs
@@ -6,8 +6,8 @@
 use masticarch_kernel::{kernel, stop};
 
 use crate::{
-    admin, allotment, error, listener, log, member, membership, metrics, name, operator, options,
-    registry, services,
+    admin, agreement, allotment, error, journal, listener, member, membership, metrics, name,
+    operator, options, outbound, registry, services,
 };
 
 /// Messages that a mailbox holds before its senders wait.
@@ -21,8 +21,9 @@
 /// [`error::Error`] when a port cannot be opened or a service not be connected.
 pub async fn run(options: options::Options, stop: stop::Stop) -> Result<(), error::Error> {
     let ports = Ports::open(&options)?;
+    let journal = journal::Journal::open(&options)?;
     let mut kernel = kernel::Kernel::new();
-    let services = start_owners(&mut kernel, &options)?;
+    let services = start_owners(&mut kernel, &options, journal)?;
     start_ports(&mut kernel, ports, &services, options);
     tracing::info!("control role started");
     stop.wait().await;
@@ -52,16 +53,26 @@
 fn start_owners(
     kernel: &mut kernel::Kernel,
     options: &options::Options,
+    journal: journal::Journal,
 ) -> Result<services::Services, error::Error> {
-    let agreement = kernel.register::<log::message::Message>(name::AGREEMENT, CAPACITY)?;
+    let agreement = kernel.register::<agreement::message::Message>(name::AGREEMENT, CAPACITY)?;
     let registry = kernel.register::<registry::message::Message>(name::REGISTRY, CAPACITY)?;
     let allotment = kernel.register::<allotment::message::Message>(name::ALLOTMENT, CAPACITY)?;
     let membership = kernel.register::<membership::message::Message>(name::MEMBERSHIP, CAPACITY)?;
+    let outbound = kernel.register::<agreement::outgoing::Outgoing>(name::OUTBOUND, CAPACITY)?;
     let services = connect(kernel)?;
 
-    let advertised = options.advertised.unwrap_or(options.member);
-    let single = log::single::Single::new(options.id, advertised, services.registry.clone());
-    kernel.start(name::AGREEMENT, |stop| single.run(agreement, stop));
+    let state = agreement::service::Service::new(
+        options,
+        journal,
+        services.registry.clone(),
+        kernel
+            .registry()
+            .lookup::<agreement::outgoing::Outgoing>(name::OUTBOUND)?,
+    );
+    kernel.start(name::AGREEMENT, |stop| state.run(agreement, stop));
+    let connections = outbound::service::Service::new(options.credential.clone());
+    kernel.start(name::OUTBOUND, |stop| connections.run(outbound, stop));
     let owner = registry::service::Service::new(
         services.allotment.clone(),
         services.membership.clone(),
@@ -86,7 +97,7 @@
 /// Finds the services by name.
 fn connect(kernel: &kernel::Kernel) -> Result<services::Services, error::Error> {
     let found = kernel.registry();
-    let log = log::client::Client::new(found.lookup(name::AGREEMENT)?);
+    let log = agreement::client::Client::new(found.lookup(name::AGREEMENT)?);
     let registry = found.lookup(name::REGISTRY)?;
     Ok(services::Services {
         commands: registry::client::Client::new(log.clone(), registry.clone()),
--- a/crates/control/src/services.rs
+++ b/crates/control/src/services.rs
@@ -2,13 +2,13 @@
 
 use masticarch_kernel::address;
 
-use crate::{allotment, log, membership, metrics, registry};
+use crate::{agreement, allotment, membership, metrics, registry};
 
 /// Addresses of the services that calls use; cheap to clone.
 #[derive(Clone, Debug)]
 pub struct Services {
     /// The replicated log.
-    pub log: log::client::Client,
+    pub log: agreement::client::Client,
     /// Commands with their results.
     pub commands: registry::client::Client,
     /// Owner of the catalog.
--- a/crates/policy/src/share/owner.rs
+++ b/crates/policy/src/share/owner.rs
@@ -47,6 +47,15 @@
         }
     }
 
+    /// Makes the owner of the first term ever, before which nothing was leased.
+    #[must_use]
+    pub fn first(now: Instant) -> Self {
+        Self {
+            opened: now,
+            ..Self::new(now)
+        }
+    }
+
     /// Sets the limits of all teams. A team that is not listed gets no more
     /// shares; the ones that it has count until their leases end.
     pub fn set_limits(&mut self, now: Instant, limits: &[lease::Limit]) {
