Divide what exceeds a lowered limit among its holders

Cause: the property test, run with 2,000 cases, found shares of 1.32 under a limit of 1.20 more than a lease after the limit was lowered: each holder could keep its old share while the level shifted between reports. Ruled out: granting only what is free, which would give the first reporter nothing while the others hold their old shares. Change: when the limit is lowered, each holder may keep the same part of its share; a new owner keeps none beyond the limit.

--- a/crates/policy/src/share/account.rs
+++ b/crates/policy/src/share/account.rs
@@ -16,6 +16,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Holding {
     counted: lease::Share,
+    /// What it may keep although the sum exceeds a lowered limit.
+    kept: lease::Share,
     demand: f64,
     expires: Instant,
 }
@@ -72,14 +74,27 @@
         self.holdings.values().map(|holding| holding.demand).sum()
     }
 
-    /// Changes the limit; shares granted under the earlier one shrink as their
-    /// holders report.
+    /// Changes the limit. When shares granted under the earlier one exceed it,
+    /// each holder may keep the same part of its share, so that the sum is
+    /// within the limit once every holder has reported or its lease is over.
     pub fn set_limit(&mut self, now: Instant, limit: lease::Share, opened: Instant) {
         if self.limit != limit {
             self.fill(now, opened);
             self.limit = limit;
             self.computed = None;
             self.trim_pool();
+            self.divide_excess();
+        }
+    }
+
+    fn divide_excess(&mut self) {
+        let rate = part(self.limit.rate, self.counted.rate);
+        let burst = part(self.limit.burst, self.counted.burst);
+        for holding in self.holdings.values_mut() {
+            holding.kept = lease::Share {
+                rate: holding.counted.rate * rate,
+                burst: holding.counted.burst * burst,
+            };
         }
     }
 
@@ -115,22 +130,27 @@
         self.pool += amount(report.released);
         self.trim_pool();
         self.update_level(now);
-        let share = self.share(held, demand, now < opened);
+        let share = self.share(node, held, demand, now < opened);
         self.count(now, node, held.max(share), demand);
         let tokens = self.take_tokens(held, share, demand);
         Decision { share, tokens }
     }
 
     /// The share for a holder that is counted with `held`.
-    fn share(&self, held: lease::Share, demand: f64, closed: bool) -> lease::Share {
-        let target = self.level.target(demand);
-        if closed {
-            return target.min(held);
-        }
-        let free = self.limit.less(self.counted);
-        // Up to `held`, a share does not raise the sum, even when the sum
-        // exceeds a lowered limit.
-        target.min(held.plus(free))
+    fn share(
+        &self,
+        node: incarnation::Incarnation,
+        held: lease::Share,
+        demand: f64,
+        closed: bool,
+    ) -> lease::Share {
+        let others = self.counted.less(held);
+        let free = self.limit.less(others);
+        let holding = self.holdings.get(&node);
+        let kept = holding.map(|holding| holding.kept).unwrap_or_default();
+        let most = free.max(kept.min(held));
+        let target = self.level.target(demand).min(most);
+        if closed { target.min(held) } else { target }
     }
 
     /// Sets what a holder is counted with, from now until its lease ends.
@@ -141,19 +161,17 @@
         counted: lease::Share,
         demand: f64,
     ) {
-        let earlier = if counted.is_empty() && demand <= 0.0 {
-            self.holdings.remove(&node)
-        } else {
-            let expires = now + lease::COUNTED;
-            self.holdings.insert(
-                node,
-                Holding {
-                    counted,
-                    demand,
-                    expires,
-                },
-            )
-        };
+        let earlier = self.holdings.remove(&node);
+        if !counted.is_empty() || demand > 0.0 {
+            let kept = earlier.map(|holding| holding.kept).unwrap_or_default();
+            let holding = Holding {
+                counted,
+                kept,
+                demand,
+                expires: now + lease::COUNTED,
+            };
+            self.holdings.insert(node, holding);
+        }
         let earlier = earlier.map(|holding| holding.counted).unwrap_or_default();
         self.counted = self.counted.less(earlier).plus(counted);
     }
@@ -194,6 +212,11 @@
     }
 }
 
+/// The part of `sum` that is within `limit`.
+fn part(limit: f64, sum: f64) -> f64 {
+    if sum > limit { limit / sum } else { 1.0 }
+}
+
 /// A reported amount; anything that is not a number counts as nothing.
 const fn amount(value: f64) -> f64 {
     if value.is_finite() {
