--- a/crates/policy/src/limit/adaptive.rs
+++ b/crates/policy/src/limit/adaptive.rs
@@ -14,10 +14,15 @@
 const TOLERANCE: f64 = 1.25;
 /// Strongest decrease at one window.
 const MAX_DECREASE: f64 = 0.7;
-/// Growth per window while the limit is below half of the slots.
+/// Growth per window while the limit is far below the last one that queued.
 const RAMP: f64 = 1.5;
+/// Part of the limit that queued up to which the limit ramps.
+const RAMP_PART: f64 = 0.5;
+/// Windows after a decrease before the reference is measured again. One probe
+/// per decrease costs capacity for each window that is slow by chance.
+const WINDOWS_TO_PROBE_AFTER_DECREASE: u32 = 3;
 /// Windows in use between two measurements of the reference.
-const PROBE_INTERVAL_WINDOWS: u32 = 10;
+const PROBE_INTERVAL_WINDOWS: u32 = 20;
 /// Weight of a window that is faster than the reference by the tolerance.
 const GAIN_FASTER: f64 = 0.5;
 /// Weight of a window while the limit is not in use, so that no requests queue.
@@ -48,7 +53,8 @@
 #[derive(Clone, Debug)]
 pub struct Adaptive {
     limit: f64,
-    slots: f64,
+    ramp_until: f64,
+    falling: bool,
     connections: f64,
     phase: Phase,
     counts_from: Option<Instant>,
@@ -130,18 +136,24 @@
     }
 
     fn decrease(&mut self, ratio: f64) {
+        if !self.falling {
+            self.falling = true;
+            self.ramp_until = self.limit * RAMP_PART;
+        }
         let part = (TOLERANCE / ratio).max(MAX_DECREASE);
         self.set(self.limit * part);
         // The service itself may have slowed down: measure the reference again
-        // before the limit falls further.
-        self.windows_to_probe = self.windows_to_probe.min(1);
+        // before the limit falls much further.
+        let soon = WINDOWS_TO_PROBE_AFTER_DECREASE;
+        self.windows_to_probe = self.windows_to_probe.min(soon);
     }
 
     fn increase(&mut self) {
-        if self.limit < self.slots / 2.0 {
+        self.falling = false;
+        if self.limit < self.ramp_until {
             self.set(self.limit * RAMP);
         } else {
-            self.set(self.limit + (self.limit.sqrt() / 2.0).max(1.0));
+            self.set(self.limit + (self.limit.sqrt() / 4.0).max(1.0));
         }
     }
 
@@ -160,7 +172,8 @@
         let connections = f64::from(connections.max(1));
         Self {
             limit: (f64::from(slots) / 4.0).clamp(1.0, connections),
-            slots: f64::from(slots),
+            ramp_until: RAMP_PART * f64::from(slots),
+            falling: false,
             connections,
             phase: Phase::Normal,
             counts_from: None,
@@ -190,7 +203,7 @@
     }
 
     fn resize(&mut self, slots: u32, connections: u32) {
-        self.slots = f64::from(slots);
+        self.ramp_until = self.ramp_until.min(RAMP_PART * f64::from(slots));
         self.connections = f64::from(connections.max(1));
         self.set(self.limit);
     }
