Give back the token of a request that the gate sheds

A request refused as overloaded or without a target took a token of its team's rate, so that the team was later refused although it was within its rate. The order rate, then shedding was kept: shedding first would count requests that the rate refuses as load of the service.

Holders also ask for a report when the first waiting request cannot get a token in time. Before, only holders without a lease did, and a team that had been idle under an empty grant waited for the renewal period. Teams without share and demand are no longer reported.

The terms of a request and the gate's refusals have modules of their own.

--- /dev/null
+++ b/crates/node/src/gate/denial.rs
@@ -0,0 +1,38 @@
+//! Refusals of the gate.
+
+use std::time::Duration;
+
+use masticarch_model::code;
+
+use crate::gate::pending;
+use crate::refusal;
+
+/// Time after which a caller may try again: a renewal period of shares, and
+/// longer than overload takes to relax by one rank.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Refuses a request. The asker may have gone away.
+pub fn send(reply: pending::Reply, code: code::Code) {
+    let mut refusal = refusal::Refusal::new(code, detail(code));
+    let passes = matches!(code, code::Code::OverRate | code::Code::Overloaded);
+    refusal.retry_after = passes.then_some(RETRY_AFTER);
+    let _ = reply.send(Err(refusal));
+}
+
+/// One sentence for the reader of the answer.
+const fn detail(code: code::Code) -> &'static str {
+    match code {
+        code::Code::NoKey => "the route needs a key",
+        code::Code::UnknownKey => "the key is not known",
+        code::Code::KeyWithdrawn => "the key has been withdrawn",
+        code::Code::WrongTeam => "the team may not use the route",
+        code::Code::NoRoute => "no route matches the path",
+        code::Code::OverRate => "the team's rate and burst are used up",
+        code::Code::Overloaded => "the service has no capacity for this priority",
+        code::Code::NoTarget => "no usable target serves the route",
+        code::Code::DeadlineExceeded => "the deadline has passed",
+        code::Code::Draining => "the node is leaving",
+        code::Code::NotCurrent => "the node cannot show that its configuration is current",
+        _ => "the request cannot run at present",
+    }
+}
--- a/crates/node/src/gate/mod.rs
+++ b/crates/node/src/gate/mod.rs
@@ -4,6 +4,7 @@
 pub mod admission;
 mod authority;
 pub mod choice;
+mod denial;
 pub mod key;
 pub mod message;
 mod outlet;
@@ -18,4 +19,5 @@
 mod state;
 mod team;
 mod teams;
+mod terms;
 mod verdict;
--- a/crates/node/src/gate/pending.rs
+++ b/crates/node/src/gate/pending.rs
@@ -1,12 +1,9 @@
 //! A request that may run under its route and key.
 
-use std::time::Instant;
-
 use masticarch_kernel::reply;
 use masticarch_model::name;
-use masticarch_policy::credit::loan;
 
-use crate::gate::{admission, remotes};
+use crate::gate::{admission, remotes, terms};
 use crate::refusal;
 
 /// Slot for the answer to a new request.
@@ -17,14 +14,12 @@
 #[derive(Debug)]
 pub struct Pending {
     pub reply: Reply,
-    pub root: Box<str>,
-    pub recognised: bool,
+    pub terms: terms::Terms,
     pub team: Option<name::Name>,
+    /// Whether it takes a token of its team's rate.
+    pub rated: bool,
     pub route: name::Name,
     pub service: name::Name,
     pub pool: remotes::PoolKey,
-    pub rank: u8,
-    pub deadline: Instant,
     pub idempotent: bool,
-    pub loan: loan::Loan,
 }
--- a/crates/node/src/gate/reports.rs
+++ b/crates/node/src/gate/reports.rs
@@ -39,7 +39,8 @@
         if now < self.due {
             return None;
         }
-        let asked = self.asked.take()?;
+        // Released tokens are reported once: not to an asker that has gone.
+        let asked = self.asked.take().filter(|asked| !asked.is_canceled())?;
         self.due = now + RENEWAL_INTERVAL;
         Some(asked)
     }
--- a/crates/node/src/gate/state.rs
+++ b/crates/node/src/gate/state.rs
@@ -12,10 +12,10 @@
 use slotmap::SlotMap;
 
 use crate::gate::{
-    admission, authority, choice, key, message, pending, remote, remotes, report, reports, request,
-    running, teams, verdict,
+    admission, authority, choice, denial, key, message, pending, remote, remotes, report, reports,
+    request, running, teams, terms, verdict,
 };
-use crate::{metrics, options, origin, refusal};
+use crate::{metrics, options, origin};
 
 /// Time between two searches for requests that nobody ended.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
@@ -109,7 +109,7 @@
     fn begin(&mut self, request: request::Request, reply: pending::Reply, now: Instant) {
         match self.authorise(&request, now) {
             Ok((route, team)) => self.admit(route, team, request, reply, now),
-            Err(code) => refuse(reply, code),
+            Err(code) => denial::send(reply, code),
         }
     }
 
@@ -135,71 +135,41 @@
     /// token of its root.
     fn admit(
         &mut self,
-        route: directory::RouteKey,
+        key: directory::RouteKey,
         team: authority::Team,
         request: request::Request,
         reply: pending::Reply,
         now: Instant,
     ) {
         let is_root = matches!(request.origin, origin::Origin::Caller(_));
-        let pending = match self.prepare(route, team, request, reply, now) {
-            Ok(pending) => pending,
-            Err((reply, code)) => return refuse(reply, code),
-        };
-        match team.filter(|_| is_root && self.options.decisions) {
-            Some(team) => self.apply_rate(team, pending, now),
-            None => self.start(pending, now),
-        }
-    }
-
-    fn prepare(
-        &mut self,
-        route: directory::RouteKey,
-        team: authority::Team,
-        request: request::Request,
-        reply: pending::Reply,
-        now: Instant,
-    ) -> Result<pending::Pending, (pending::Reply, code::Code)> {
-        let route = &self.directory.routes[route];
-        let deadline = deadline(route, &request, now);
-        if deadline <= now {
-            return Err((reply, code::Code::DeadlineExceeded));
+        let directory = Rc::clone(&self.directory);
+        let route = &directory.routes[key];
+        let terms = terms::Terms::new(&directory, route, request, &mut self.rng, now);
+        if terms.deadline <= now {
+            return denial::send(reply, code::Code::DeadlineExceeded);
         }
         let Some(pool) = self.remotes.pool_of(route.service) else {
-            return Err((reply, code::Code::NoTarget));
+            return denial::send(reply, code::Code::NoTarget);
         };
-        let rank = rank(&self.directory, route, &request);
-        let (root, recognised, loan) = match (request.origin, request.id) {
-            (origin::Origin::SubCall(parent), _) => {
-                let loan = loan::Loan {
-                    credit: parent.credit,
-                    repeat: parent.repeat,
-                };
-                (parent.root, false, loan)
-            }
-            (origin::Origin::Caller(_), Some(id)) => (id, true, first_loan(route)),
-            (origin::Origin::Caller(_), None) => {
-                let id = format!("{:032x}", self.rng.u128(..));
-                (id.into(), false, first_loan(route))
-            }
-        };
-        Ok(pending::Pending {
+        let rated = team.filter(|_| is_root && self.options.decisions);
+        let pending = pending::Pending {
             reply,
-            root,
-            recognised,
-            team: team.map(|team| self.directory.teams[team].name.clone()),
+            terms,
+            team: team.map(|team| directory.teams[team].name.clone()),
+            rated: rated.is_some(),
             route: route.name.clone(),
-            service: self.directory.services[route.service].name.clone(),
+            service: directory.services[route.service].name.clone(),
             pool,
-            rank,
-            deadline,
             idempotent: route.idempotent,
-            loan,
-        })
+        };
+        match rated {
+            Some(team) => self.apply_rate(team, pending, now),
+            None => self.start(pending, now),
+        }
     }
 
     fn apply_rate(&mut self, team: directory::TeamKey, pending: pending::Pending, now: Instant) {
-        let until = pending.deadline.min(now + self.options.rate_wait);
+        let until = pending.terms.deadline.min(now + self.options.rate_wait);
         let (decision, urgent) = self.teams.request(team, pending, until, now);
         if let Some(at) = urgent {
             self.reports.hasten(at);
@@ -218,27 +188,31 @@
         match decision {
             decision::Decision::Pass(pending) => self.start(pending, now),
             decision::Decision::Wait => {}
-            decision::Decision::Refuse(pending) => refuse(pending.reply, code::Code::OverRate),
+            decision::Decision::Refuse(pending) => {
+                denial::send(pending.reply, code::Code::OverRate);
+            }
         }
     }
 
     /// Sheds the request or chooses its first target.
     fn start(&mut self, pending: pending::Pending, now: Instant) {
         if pending.reply.is_canceled() {
-            return;
+            return self.refund(&pending, now);
         }
         if self.options.decisions && !self.passes(&pending, now) {
-            return refuse(pending.reply, code::Code::Overloaded);
+            self.refund(&pending, now);
+            return denial::send(pending.reply, code::Code::Overloaded);
         }
-        let Some(remote) = self.choose(pending.pool, &[], pending.rank, now) else {
-            return refuse(pending.reply, code::Code::NoTarget);
+        let Some(remote) = self.choose(pending.pool, &[], pending.terms.rank, now) else {
+            self.refund(&pending, now);
+            return denial::send(pending.reply, code::Code::NoTarget);
         };
-        let mut purse = purse::Purse::new(pending.loan);
-        let choice = self.choice(remote, &mut purse, pending.deadline, now);
+        let mut purse = purse::Purse::new(pending.terms.loan);
+        let choice = self.choice(remote, &mut purse, pending.terms.deadline, now);
         let request = self.running.insert(running::Running {
             pool: pending.pool,
-            rank: pending.rank,
-            deadline: pending.deadline,
+            rank: pending.terms.rank,
+            deadline: pending.terms.deadline,
             idempotent: pending.idempotent,
             purse,
             tried: vec![remote],
@@ -248,13 +222,13 @@
         self.remotes.begun(remote);
         let admission = admission::Admission {
             request,
-            root: pending.root,
-            recognised: pending.recognised,
+            root: pending.terms.root,
+            recognised: pending.terms.recognised,
             team: pending.team,
             route: pending.route,
             service: pending.service,
-            rank: pending.rank,
-            deadline: pending.deadline,
+            rank: pending.terms.rank,
+            deadline: pending.terms.deadline,
             idempotent: pending.idempotent,
             choice,
         };
@@ -263,9 +237,18 @@
         }
     }
 
+    /// Gives back the token of a request that does not run.
+    fn refund(&mut self, pending: &pending::Pending, now: Instant) {
+        if let Some(team) = &pending.team
+            && pending.rated
+        {
+            self.teams.refund(team, now);
+        }
+    }
+
     fn passes(&mut self, pending: &pending::Pending, now: Instant) -> bool {
         self.remotes
-            .passes(pending.pool, pending.rank, &mut self.rng, now)
+            .passes(pending.pool, pending.terms.rank, &mut self.rng, now)
     }
 
     /// A target that was not tried, else any usable one.
@@ -428,7 +411,7 @@
         }
         self.remotes.install(&directory);
         for pending in self.teams.install(&directory, now) {
-            refuse(pending.reply, code::Code::WrongTeam);
+            denial::send(pending.reply, code::Code::WrongTeam);
         }
         self.directory = directory;
     }
@@ -445,62 +428,3 @@
         }
     }
 }
-
-/// The earliest of the route's, the caller's and the parent's deadline.
-fn deadline(route: &directory::Route, request: &request::Request, now: Instant) -> Instant {
-    let asked = request.remaining.unwrap_or(route.timeout);
-    let own = now + route.timeout.min(asked);
-    match &request.origin {
-        origin::Origin::SubCall(loan) => own.min(loan.deadline),
-        origin::Origin::Caller(_) => own,
-    }
-}
-
-/// The route's rank, or that of the root request; a caller may only lower it.
-fn rank(
-    directory: &directory::Directory,
-    route: &directory::Route,
-    request: &request::Request,
-) -> u8 {
-    let given = match &request.origin {
-        origin::Origin::SubCall(loan) => loan.rank,
-        origin::Origin::Caller(_) => route.rank,
-    };
-    let asked = request.priority.as_deref();
-    let asked = asked.and_then(|name| directory.rank_named(name));
-    asked.map_or(given, |asked| asked.max(given))
-}
-
-/// The credit of a root request.
-const fn first_loan(route: &directory::Route) -> loan::Loan {
-    loan::Loan {
-        credit: route.retries,
-        repeat: false,
-    }
-}
-
-fn refuse(reply: pending::Reply, code: code::Code) {
-    let mut refusal = refusal::Refusal::new(code, detail(code));
-    if matches!(code, code::Code::OverRate | code::Code::Overloaded) {
-        refusal.retry_after = Some(Duration::from_secs(1));
-    }
-    let _ = reply.send(Err(refusal));
-}
-
-/// One sentence for the reader of the answer.
-const fn detail(code: code::Code) -> &'static str {
-    match code {
-        code::Code::NoKey => "the route needs a key",
-        code::Code::UnknownKey => "the key is not known",
-        code::Code::KeyWithdrawn => "the key has been withdrawn",
-        code::Code::WrongTeam => "the team may not use the route",
-        code::Code::NoRoute => "no route matches the path",
-        code::Code::OverRate => "the team's rate and burst are used up",
-        code::Code::Overloaded => "the service has no capacity for this priority",
-        code::Code::NoTarget => "no usable target serves the route",
-        code::Code::DeadlineExceeded => "the deadline has passed",
-        code::Code::Draining => "the node is leaving",
-        code::Code::NotCurrent => "the node cannot show that its configuration is current",
-        _ => "the request cannot run at present",
-    }
-}
--- a/crates/node/src/gate/teams.rs
+++ b/crates/node/src/gate/teams.rs
@@ -64,6 +64,15 @@
         (decision, urgent)
     }
 
+    /// Gives back the token of a request that passed and did not run.
+    pub fn refund(&mut self, name: &name::Name, now: Instant) {
+        let Some(slot) = self.names.get(name).copied() else {
+            return;
+        };
+        self.arena[slot].holder.refund(now);
+        self.schedule(slot);
+    }
+
     /// Takes a request whose wait for a token has ended, one way or the other.
     pub fn next(&mut self, now: Instant) -> Option<decision::Decision<pending::Pending>> {
         while let Some((wake, slot)) = self.wakes.first().copied() {
--- /dev/null
+++ b/crates/node/src/gate/terms.rs
@@ -0,0 +1,75 @@
+//! Terms under which a request runs: its own, or those of its root request.
+
+use std::time::Instant;
+
+use fastrand::Rng;
+use masticarch_model::directory;
+use masticarch_policy::credit::loan;
+
+use crate::gate::request;
+use crate::origin;
+
+/// Terms under which a request runs.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    /// Id of the root request.
+    pub root: Box<str>,
+    /// Whether the caller gave the id.
+    pub recognised: bool,
+    /// Rank of the priority: 0 is the highest.
+    pub rank: u8,
+    /// When the request's time is over.
+    pub deadline: Instant,
+    /// Retry credit.
+    pub loan: loan::Loan,
+}
+
+impl Terms {
+    /// The terms of a request on a route. A sub-call inherits those of its
+    /// parent; a root request without an id gets a random one.
+    pub fn new(
+        directory: &directory::Directory,
+        route: &directory::Route,
+        request: request::Request,
+        rng: &mut Rng,
+        now: Instant,
+    ) -> Self {
+        let asked = request.priority.as_deref();
+        let asked = asked.and_then(|name| directory.rank_named(name));
+        let time = request.remaining.unwrap_or(route.timeout);
+        let own_deadline = now + route.timeout.min(time);
+        let mut terms = match request.origin {
+            origin::Origin::SubCall(parent) => Self::inherited(parent, own_deadline),
+            origin::Origin::Caller(_) => Self {
+                recognised: request.id.is_some(),
+                root: request.id.unwrap_or_else(|| random_id(rng)),
+                rank: route.rank,
+                deadline: own_deadline,
+                loan: loan::Loan {
+                    credit: route.retries,
+                    repeat: false,
+                },
+            },
+        };
+        // A caller may only lower the priority.
+        terms.rank = asked.map_or(terms.rank, |asked| asked.max(terms.rank));
+        terms
+    }
+
+    fn inherited(parent: origin::Loan, own_deadline: Instant) -> Self {
+        Self {
+            root: parent.root,
+            recognised: false,
+            rank: parent.rank,
+            deadline: own_deadline.min(parent.deadline),
+            loan: loan::Loan {
+                credit: parent.credit,
+                repeat: parent.repeat,
+            },
+        }
+    }
+}
+
+fn random_id(rng: &mut Rng) -> Box<str> {
+    format!("{:032x}", rng.u128(..)).into()
+}
--- a/crates/policy/src/route/load.rs
+++ b/crates/policy/src/route/load.rs
@@ -27,7 +27,7 @@
     /// Network latency and estimated wait together.
     #[must_use]
     pub fn cost(&self) -> Duration {
-        let wait = self.latency * self.in_flight / self.limit.max(1);
+        let wait = self.latency.saturating_mul(self.in_flight) / self.limit.max(1);
         let penalty = if self.shedding {
             SHEDDING
         } else {
--- a/crates/policy/src/share/bucket.rs
+++ b/crates/policy/src/share/bucket.rs
@@ -49,6 +49,16 @@
         enough
     }
 
+    /// Puts back a token that was not used.
+    pub fn put_back(&mut self) {
+        self.tokens = (self.tokens + 1.0).min(self.share.burst);
+    }
+
+    /// Whether there is a share.
+    pub fn has_share(&self) -> bool {
+        self.share.rate_per_second > 0.0 || self.share.burst > 0.0
+    }
+
     /// Changes the share and adds tokens from the owner's pool; returns the
     /// tokens that no longer fit.
     pub fn resize(&mut self, share: Share, tokens: f64) -> f64 {
--- a/crates/policy/src/share/holder.rs
+++ b/crates/policy/src/share/holder.rs
@@ -92,6 +92,15 @@
         decision::Decision::Wait
     }
 
+    /// Gives back the token of a request that passed and did not run, so that
+    /// a refusal for another reason does not count towards the rate. Only for a
+    /// request that passed at this same moment: under a later lease the token
+    /// would come on top of what the owner granted.
+    pub fn refund(&mut self, now: Instant) {
+        self.advance(now);
+        self.bucket.put_back();
+    }
+
     /// When [`Self::next`] may have a request; `None` when none waits.
     #[must_use]
     pub fn wake(&self) -> Option<Instant> {
@@ -144,8 +153,7 @@
         };
         let change = (demand - reported.demand_per_second).abs();
         let quarter = URGENT_PART * reported.demand_per_second;
-        let urgent = change > quarter.max(URGENT_MIN_PER_SECOND)
-            || (!self.waiting.is_empty() && self.expires.is_none());
+        let urgent = change > quarter.max(URGENT_MIN_PER_SECOND) || self.is_starved();
         urgent.then(|| reported.at + URGENT_INTERVAL)
     }
 
@@ -153,7 +161,18 @@
     #[must_use]
     pub fn is_idle(&self, now: Instant) -> bool {
         let unused = self.demand.per_second(now) < IDLE_PER_SECOND;
-        unused && self.expires.is_none_or(|at| at <= now) && self.waiting.is_empty()
+        let leased = self.expires.is_some_and(|at| at > now);
+        let holds = leased && (self.bucket.has_share() || self.released > 0.0);
+        unused && !holds && self.waiting.is_empty()
+    }
+
+    /// Whether the next waiting request cannot get a token in time.
+    fn is_starved(&self) -> bool {
+        let Some(waiter) = self.waiting.front() else {
+            return false;
+        };
+        let token = self.bucket.next_token();
+        token.is_none_or(|token| token > waiter.until)
     }
 
     /// Earns tokens, and drops a share whose lease has ended.
--- a/crates/policy/tests/holder.rs
+++ b/crates/policy/tests/holder.rs
@@ -219,6 +219,44 @@
     assert_eq!(urgent, Some(now + holder::URGENT_INTERVAL));
 }
 
+// Guards against a team that was idle and waits a whole renewal period.
+#[test]
+fn starved_request_is_urgent_again_after_an_empty_grant() {
+    let now = Instant::now();
+    let later = now + Duration::from_secs(4);
+    let mut holder = granted(0.0, 0.0, 0.0, now);
+    holder.report(now);
+
+    holder.request(1, later + Duration::from_millis(200), later);
+
+    assert!(holder.urgent_from(later).is_some_and(|at| at <= later));
+}
+
+// Guards against reports without end on teams that a node no longer serves.
+#[test]
+fn team_without_share_and_demand_is_idle() {
+    let now = Instant::now();
+
+    let (empty, held) = (granted(0.0, 0.0, 0.0, now), granted(1.0, 1.0, 0.0, now));
+
+    assert!(empty.is_idle(now));
+    assert!(!held.is_idle(now));
+}
+
+// Guards against refusals for other reasons that use up a team's rate.
+#[test]
+fn refunded_token_can_be_used_once_more() {
+    let now = Instant::now();
+    let mut holder = granted(1.0, 1.0, 1.0, now);
+    holder.request(1, now, now);
+
+    holder.refund(now);
+    holder.refund(now);
+
+    assert_eq!(holder.request(2, now, now), decision::Decision::Pass(2));
+    assert_eq!(holder.request(3, now, now), decision::Decision::Refuse(3));
+}
+
 // Guards against demand measured wrongly, by which the owner divides the rate.
 #[test]
 fn demand_follows_the_arrival_rate() {
