--- a/crates/node/src/gate/running.rs
+++ b/crates/node/src/gate/running.rs
@@ -2,9 +2,10 @@
 
 use std::time::Instant;
 
-use masticarch_policy::credit::purse;
+use masticarch_model::ran;
+use masticarch_policy::credit::{loan, purse, tree};
 
-use crate::gate::{choice, remote, remotes};
+use crate::gate::{choice, remote, remotes, report, verdict};
 
 /// A request in flight at its entry node.
 #[derive(Debug)]
@@ -27,4 +28,45 @@
     pub fn remote(&self) -> Option<remote::RemoteKey> {
         self.tried.last().copied()
     }
+
+    /// Begins a further attempt.
+    pub fn attempt(&mut self, remote: remote::RemoteKey, choice: choice::Choice) {
+        self.tried.push(remote);
+        self.outstanding = true;
+        self.choice = choice;
+    }
+
+    /// Takes the report of the present attempt and returns its target; `None`
+    /// when the attempt was reported before.
+    pub fn report(&mut self, report: &report::Report) -> Option<remote::RemoteKey> {
+        self.close_attempt(report.credit, verdict::executions(report))
+    }
+
+    /// The present attempt was not sent: all that it was lent comes back.
+    /// Returns its target; `None` when the attempt was reported before.
+    pub fn withdraw(&mut self) -> Option<remote::RemoteKey> {
+        self.close_attempt(self.choice.credit, Some(0))
+    }
+
+    /// Replaces the credit by what the ledger allows.
+    pub fn set_credit(&mut self, loan: loan::Loan) {
+        self.purse = purse::Purse::new(loan);
+        let lent = self.purse.lend();
+        self.choice.credit = lent.credit;
+        self.choice.repeat = lent.repeat;
+    }
+
+    /// Whether a further attempt is harmless and may succeed.
+    pub fn may_retry(&self, report: &report::Report) -> bool {
+        let harmless = self.idempotent || report.ran == ran::Ran::No;
+        harmless && verdict::failure(report).is_some_and(verdict::is_retryable)
+    }
+
+    fn close_attempt(&mut self, credit: u8, executions: Option<u32>) -> Option<remote::RemoteKey> {
+        if !std::mem::take(&mut self.outstanding) {
+            return None;
+        }
+        self.purse.take_back(tree::Tree { credit, executions });
+        self.remote()
+    }
 }
--- a/crates/node/src/gate/state.rs
+++ b/crates/node/src/gate/state.rs
@@ -5,8 +5,8 @@
 
 use fastrand::Rng;
 use masticarch_kernel::reply;
-use masticarch_model::{code, directory, ran};
-use masticarch_policy::credit::{loan, purse, tree};
+use masticarch_model::{code, directory};
+use masticarch_policy::credit::{loan, purse};
 use masticarch_policy::currency;
 use masticarch_policy::share::decision;
 use slotmap::SlotMap;
@@ -326,9 +326,7 @@
         self.remotes.begun(remote);
         let running = self.running.get_mut(key)?;
         running.purse = purse;
-        running.tried.push(remote);
-        running.outstanding = true;
-        running.choice = choice.clone();
+        running.attempt(remote, choice.clone());
         Some(choice)
     }
 
@@ -336,27 +334,19 @@
         if !self.options.decisions {
             return running.tried.len() < BASELINE_ATTEMPTS;
         }
-        let Some(code) = verdict::failure(report) else {
-            return false;
-        };
-        let harmless = running.idempotent || report.ran == ran::Ran::No;
-        let shed = code == code::Code::Overloaded
+        // Where every target sheds the rank, another attempt is only load.
+        let shed = verdict::failure(report) == Some(code::Code::Overloaded)
             && self.remotes.all_shed(running.pool, running.rank, now);
-        harmless && verdict::is_retryable(code) && !shed
+        running.may_retry(report) && !shed
     }
 
     /// Takes the report of the present attempt. A second report of the same
     /// attempt has no effect.
     fn learn(&mut self, key: key::RequestKey, report: &report::Report, now: Instant) {
-        let Some(running) = self.running.get_mut(key).filter(|entry| entry.outstanding) else {
+        let Some(running) = self.running.get_mut(key) else {
             return;
         };
-        running.outstanding = false;
-        running.purse.take_back(tree::Tree {
-            credit: report.credit,
-            executions: verdict::executions(report),
-        });
-        if let Some(remote) = running.remote() {
+        if let Some(remote) = running.report(report) {
             let (pool, rank) = (running.pool, running.rank);
             self.remotes.ended(pool, remote, rank, report, now);
         }
@@ -364,10 +354,7 @@
 
     fn set_credit(&mut self, key: key::RequestKey, loan: loan::Loan) -> Option<choice::Choice> {
         let running = self.running.get_mut(key)?;
-        running.purse = purse::Purse::new(loan);
-        let lent = running.purse.lend();
-        running.choice.credit = lent.credit;
-        running.choice.repeat = lent.repeat;
+        running.set_credit(loan);
         Some(running.choice.clone())
     }
 
@@ -389,17 +376,9 @@
         }
     }
 
-    /// The present attempt was not sent: all that it was lent comes back.
     fn withdraw(&mut self, key: key::RequestKey) {
-        let Some(running) = self.running.get_mut(key).filter(|entry| entry.outstanding) else {
-            return;
-        };
-        running.outstanding = false;
-        running.purse.take_back(tree::Tree {
-            credit: running.choice.credit,
-            executions: Some(0),
-        });
-        if let Some(remote) = running.remote() {
+        let running = self.running.get_mut(key);
+        if let Some(remote) = running.and_then(running::Running::withdraw) {
             self.remotes.withdrawn(remote);
         }
     }
--- a/crates/node/tests/gate.rs
+++ b/crates/node/tests/gate.rs
@@ -234,6 +234,21 @@
     assert!(urgent.is_ok());
 }
 
+// Guards against refusals for lack of capacity that use up a team's rate.
+#[test]
+fn request_without_a_target_costs_no_token() {
+    let codes = fixture::with_gate(true, &fixture::view(1, 0), |gate| async move {
+        gate.grant(1, 0.1, 1.0).await;
+        let mut codes = Vec::new();
+        for _ in 0..3 {
+            codes.push(code_of(gate.begin(fixture::keyed("/alertas", 1)).await));
+        }
+        codes
+    });
+
+    assert_eq!(codes, [Some(code::Code::NoTarget); 3]);
+}
+
 // Guards against a sub-call that escapes the deadline, rank, team or credit of
 // its root request, or that costs another token.
 #[test]
