--- a/crates/node/tests/gate.rs
+++ b/crates/node/tests/gate.rs
@@ -234,6 +234,21 @@
     assert!(urgent.is_ok());
 }
 
+// Guards against refusals for lack of capacity that use up a team's rate.
+#[test]
+fn request_without_a_target_costs_no_token() {
+    let codes = fixture::with_gate(true, &fixture::view(1, 0), |gate| async move {
+        gate.grant(1, 0.1, 1.0).await;
+        let mut codes = Vec::new();
+        for _ in 0..3 {
+            codes.push(code_of(gate.begin(fixture::keyed("/alertas", 1)).await));
+        }
+        codes
+    });
+
+    assert_eq!(codes, [Some(code::Code::NoTarget); 3]);
+}
+
 // Guards against a sub-call that escapes the deadline, rank, team or credit of
 // its root request, or that costs another token.
 #[test]
@@ -263,6 +278,36 @@
     assert_eq!(code_of(drained), Some(code::Code::Draining));
 }
 
+// Guards against a drain, or a node that is cut off, that fails a running
+// request by refusing the calls it still has to make.
+#[test]
+fn sub_calls_of_running_requests_go_on_while_draining_and_not_current() {
+    let loan = fixture::with_admission(true, |admission| async move {
+        let permit = admission.enter(fixture::entry(3, false)).await.unwrap();
+        let loan = admission.lend(&permit.context).await.unwrap();
+        origin::Loan {
+            deadline: Instant::now() + Duration::from_mins(1),
+            ..loan
+        }
+    });
+    let sub_call = request::Request {
+        origin: origin::Origin::SubCall(loan),
+        ..fixture::request("/alertas", None)
+    };
+    let view = fixture::view(1, 2);
+
+    let outcome = fixture::with_gate(true, &fixture::view(0, 0), |gate| async move {
+        let old = Instant::now().checked_sub(Duration::from_secs(6)).unwrap();
+        gate.install(&view, old).await;
+        // The fixture has confirmed the empty directory just now.
+        monoio::time::sleep(Duration::from_millis(5050)).await;
+        gate.address.send(message::Message::Drain).await.unwrap();
+        gate.begin(sub_call).await
+    });
+
+    assert!(outcome.is_ok(), "{outcome:?}");
+}
+
 // Guards against a baseline that differs from a usual proxy.
 #[test]
 fn baseline_tries_three_times_on_any_failure_without_a_rate() {
