Test the node's ports and the path of requests

The fixture takes ports outside the range of client ports: with ports from that range, one run in four failed with an address in use.

--- a/crates/node/tests/common/fleet.rs
+++ b/crates/node/tests/common/fleet.rs
@@ -1,7 +1,9 @@
 //! A control stand-in and nodes, each on a thread of its own.
 
-use std::net::{SocketAddr, TcpListener};
-use std::sync::mpsc;
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::{Arc, mpsc};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -13,19 +15,31 @@
 
 use super::{client, control, target};
 
+/// Time between announcements of a target.
+const RENEWAL: Duration = Duration::from_millis(500);
+
 /// A running node.
 pub struct Node {
     pub caller: SocketAddr,
     pub peer: SocketAddr,
     pub admin: SocketAddr,
+    alive: Arc<()>,
     stop: Option<oneshot::Sender<()>>,
     thread: Option<JoinHandle<()>>,
 }
 
-/// An unused address.
+/// An unused address below the ports that the system hands out to clients, so
+/// that no connection of another test takes it before the node does.
 pub fn address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let spread = u16::try_from(std::process::id() % 200).unwrap() * 100;
+    loop {
+        let port = 10_000 + spread + NEXT.fetch_add(1, Ordering::SeqCst) % 2_000;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// The fleet's secret.
@@ -65,7 +79,9 @@
         runtime::run(role::run(options, signal)).unwrap().unwrap();
     };
     let thread = builder.spawn(run).unwrap();
+    wait_for(|| TcpStream::connect(admin).is_ok());
     Node {
+        alive: Arc::default(),
         caller,
         peer,
         admin,
@@ -85,18 +101,21 @@
         self.thread.take().unwrap().join().unwrap();
     }
 
-    /// Announces a target and waits until callers of another node, or of this
-    /// one, reach the service.
+    /// Announces a target, and renews the announcement while the node lives.
     pub fn announce(&self, target: &target::Target, connections: u32) {
-        let body = format!(
-            r#"{{"address":"{}","slots":8,"connections":{connections},"state":"serving"}}"#,
-            target.address
-        );
-        let length = body.len();
-        let request = format!(
-            "PUT /targets/service HTTP/1.1\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n{body}"
-        );
-        wait_for(|| client::exchange(self.admin, request.as_bytes()).contains("204"));
+        self.announce_once(target, connections);
+        let (admin, target) = (self.admin, target.clone());
+        let alive = Arc::downgrade(&self.alive);
+        thread::spawn(move || {
+            while alive.upgrade().is_some() && announce(admin, &target, connections) {
+                thread::sleep(RENEWAL);
+            }
+        });
+    }
+
+    /// Announces a target without renewing the announcement.
+    pub fn announce_once(&self, target: &target::Target, connections: u32) {
+        assert!(announce(self.admin, target, connections));
     }
 
     /// Waits until the node knows a target, without running a request there.
@@ -110,6 +129,23 @@
     }
 }
 
+/// Sends one announcement; tells whether it was accepted.
+fn announce(admin: SocketAddr, target: &target::Target, connections: u32) -> bool {
+    let body = format!(
+        r#"{{"address":"{}","slots":8,"connections":{connections},"state":"serving"}}"#,
+        target.address
+    );
+    let length = body.len();
+    let request = format!(
+        "PUT /targets/service HTTP/1.1\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n{body}"
+    );
+    let Ok(mut stream) = TcpStream::connect(admin) else {
+        return false;
+    };
+    let _ = stream.write_all(request.as_bytes());
+    client::read_all(&mut stream).contains("204")
+}
+
 /// Waits until a condition holds.
 pub fn wait_for(condition: impl Fn() -> bool) {
     let begun = Instant::now();
@@ -123,7 +159,6 @@
 pub fn node_with_target(script: target::Script) -> (Node, target::Target) {
     let node = node("uno", control());
     let target = target::start(script);
-    wait_for(|| std::net::TcpStream::connect(node.admin).is_ok());
     node.announce(&target, 8);
     node.wait_for_target();
     (node, target)
--- a/crates/node/tests/common/target.rs
+++ b/crates/node/tests/common/target.rs
@@ -2,8 +2,8 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -33,6 +33,15 @@
     pub address: SocketAddr,
     pub requests: Arc<AtomicUsize>,
     pub connections: Arc<AtomicUsize>,
+    pub closed: Arc<AtomicUsize>,
+    heads: Arc<Mutex<String>>,
+}
+
+impl Target {
+    /// All heads that the target received.
+    pub fn seen(&self) -> String {
+        self.heads.lock().unwrap().clone()
+    }
 }
 
 /// Starts a target; requests must come without a body.
@@ -42,19 +51,21 @@
         address: listener.local_addr().unwrap(),
         requests: Arc::default(),
         connections: Arc::default(),
+        closed: Arc::default(),
+        heads: Arc::default(),
     };
     let shared = target.clone();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             shared.connections.fetch_add(1, Ordering::SeqCst);
-            let requests = shared.requests.clone();
-            thread::spawn(move || serve(stream, script, &requests));
+            let target = shared.clone();
+            thread::spawn(move || serve(stream, script, &target));
         }
     });
     target
 }
 
-fn serve(mut stream: TcpStream, script: Script, requests: &AtomicUsize) {
+fn serve(mut stream: TcpStream, script: Script, target: &Target) {
     let mut buffer = Vec::new();
     let mut chunk = [0; 4096];
     loop {
@@ -64,11 +75,27 @@
                 Ok(count) => buffer.extend_from_slice(&chunk[..count]),
             }
         }
+        let head = String::from_utf8_lossy(&buffer).into_owned();
+        target.heads.lock().unwrap().push_str(&head);
         buffer.clear();
-        requests.fetch_add(1, Ordering::SeqCst);
-        thread::sleep(script.delay);
+        target.requests.fetch_add(1, Ordering::SeqCst);
+        if !wait(&stream, script.delay) {
+            target.closed.fetch_add(1, Ordering::SeqCst);
+            return;
+        }
         if stream.write_all(script.answer.as_bytes()).is_err() || script.close {
             return;
         }
     }
 }
+
+/// Waits for the delay; `false` when the other side closes meanwhile.
+fn wait(mut stream: &TcpStream, delay: Duration) -> bool {
+    if delay.is_zero() {
+        return true;
+    }
+    stream.set_read_timeout(Some(delay)).unwrap();
+    let closed = matches!(stream.read(&mut [0; 1]), Ok(0));
+    stream.set_read_timeout(None).unwrap();
+    !closed
+}
--- a/crates/node/tests/path.rs
+++ b/crates/node/tests/path.rs
@@ -2,10 +2,26 @@
 
 mod common;
 
+use std::io::Write;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
 use common::{client, fleet, target};
+use rstest::rstest;
 
 const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello";
 
+/// Two nodes, of which the second has a target.
+fn pair(script: target::Script) -> (fleet::Node, fleet::Node, target::Target) {
+    let control = fleet::control();
+    let near = fleet::node("near", control);
+    let far = fleet::node("far", control);
+    let target = target::start(script);
+    far.announce(&target, 8);
+    near.wait_for_target();
+    (near, far, target)
+}
+
 // Guards against a request that does not reach a target beside its node.
 #[test]
 fn request_reaches_a_local_target() {
@@ -17,18 +33,196 @@
     assert!(answer.ends_with("\r\n\r\nhello"), "{answer}");
 }
 
-// Guards against a request that does not reach a target beside another node.
+// Guards against a request that does not reach a target beside another node,
+// on a new connection and on a pooled one.
 #[test]
-fn request_reaches_a_target_of_another_node() {
-    let control = fleet::control();
-    let near = fleet::node("near", control);
-    let far = fleet::node("far", control);
-    let target = target::start(target::answering(OK));
-    far.announce(&target, 8);
-    near.wait_for_target();
+fn requests_reach_a_target_of_another_node() {
+    let (near, _far, _) = pair(target::answering(OK));
+    let request = client::get("/guiones", "");
 
-    let answer = client::exchange(near.caller, &client::get("/guiones", ""));
+    let first = client::exchange(near.caller, &request);
+    let second = client::exchange(near.caller, &request);
 
-    assert!(answer.starts_with("HTTP/1.1 200 OK\r\n"), "{answer}");
-    assert!(answer.ends_with("\r\n\r\nhello"), "{answer}");
+    for answer in [first, second] {
+        assert!(answer.starts_with("HTTP/1.1 200 OK\r\n"), "{answer}");
+        assert!(answer.ends_with("\r\n\r\nhello"), "{answer}");
+        assert!(!answer.contains("masticarch-credit"), "{answer}");
+    }
+}
+
+// Guards against a key or a caller's internal header that reaches a target.
+#[test]
+fn target_sees_no_key_and_no_foreign_headers() {
+    let (node, target) = fleet::node_with_target(target::answering(OK));
+    let headers = "masticarch-key: mk_secret\r\nauthorization: Bearer mk_secret\r\n\
+        masticarch-team: forged\r\nmasticarch-credit: 9\r\nx-own: kept\r\n";
+
+    client::exchange(node.caller, &client::get("/guiones", headers));
+
+    let seen = target.seen();
+    assert!(!seen.contains("mk_secret"), "{seen}");
+    assert!(!seen.contains("forged"), "{seen}");
+    assert!(!seen.contains("masticarch-credit"), "{seen}");
+    assert!(seen.contains("x-own: kept"), "{seen}");
+    assert!(seen.contains("masticarch-context: "), "{seen}");
+    assert!(seen.contains("masticarch-deadline-ms: "), "{seen}");
+}
+
+// Guards against an answer that is passed on although it is not whole, at the
+// target's node and at the entry node, and against a connection that is used
+// again after it.
+#[rstest]
+#[case::truncated("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nabc", 1107, "unknown")]
+#[case::oversized("HTTP/1.1 200 OK\r\ncontent-length: 2000\r\n\r\n", 1108, "yes")]
+#[case::no_http("garbage\r\n\r\n", 1109, "unknown")]
+fn bad_answer_is_refused(
+    #[case] answer: &'static str,
+    #[case] code: u16,
+    #[case] ran: &str,
+    #[values(false, true)] remote: bool,
+) {
+    let script = target::Script {
+        close: true,
+        ..target::answering(answer)
+    };
+    let nodes = if remote {
+        pair(script)
+    } else {
+        let (node, target) = fleet::node_with_target(script);
+        let control = fleet::control();
+        (node, fleet::node("idle", control), target)
+    };
+
+    let answer = client::exchange(nodes.0.caller, &client::get("/guiones", ""));
+
+    assert!(answer.starts_with("HTTP/1.1 502 "), "{answer}");
+    assert!(
+        answer.contains(&format!("masticarch-code: {code}")),
+        "{answer}"
+    );
+    assert!(answer.contains(&format!("\"code\":{code},")), "{answer}");
+    assert!(
+        answer.contains(&format!("masticarch-ran: {ran}")),
+        "{answer}"
+    );
+}
+
+// Guards against bytes after an answer that are taken for the next answer.
+#[test]
+fn connection_with_trailing_bytes_is_not_used_again() {
+    let doubled = "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\naHTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nb";
+    let (node, target) = fleet::node_with_target(target::answering(doubled));
+    let request = client::get("/guiones", "");
+
+    let first = client::exchange(node.caller, &request);
+    let second = client::exchange(node.caller, &request);
+
+    assert!(first.ends_with("\r\n\r\na"), "{first}");
+    assert!(second.ends_with("\r\n\r\na"), "{second}");
+    assert_eq!(target.connections.load(Ordering::SeqCst), 2);
+}
+
+// Guards against a request that runs on after its caller has gone, here and
+// beside another node.
+#[rstest]
+fn disconnect_closes_the_connection_to_the_target(#[values(false, true)] remote: bool) {
+    let script = target::Script {
+        delay: Duration::from_mins(1),
+        ..target::answering(OK)
+    };
+    let (node, _far, target) = if remote {
+        pair(script)
+    } else {
+        let (node, target) = fleet::node_with_target(script);
+        let idle = fleet::node("idle", fleet::control());
+        (node, idle, target)
+    };
+    let mut stream = client::connect(node.caller);
+    stream.write_all(&client::get("/guiones", "")).unwrap();
+    fleet::wait_for(|| target.requests.load(Ordering::SeqCst) == 1);
+    let begun = Instant::now();
+
+    drop(stream);
+
+    fleet::wait_for(|| target.closed.load(Ordering::SeqCst) == 1);
+    assert!(begun.elapsed() < Duration::from_secs(1));
+}
+
+// Guards against a resend of a non-idempotent request that runs again, and
+// against another request under the same key.
+#[test]
+fn resend_gets_the_first_answer() {
+    let (node, target) = fleet::node_with_target(target::answering(OK));
+    let request = client::get("/alertas", "idempotency-key: k1\r\n");
+    let other = client::get("/alertas/other", "idempotency-key: k1\r\n");
+
+    let first = client::exchange(node.caller, &request);
+    fleet::wait_for(|| !client::exchange(node.caller, &request).contains("1012"));
+    let resend = client::exchange(node.caller, &request);
+    let mismatch = client::exchange(node.caller, &other);
+
+    assert!(first.ends_with("hello"), "{first}");
+    assert!(resend.starts_with("HTTP/1.1 200 OK"), "{resend}");
+    assert!(resend.ends_with("hello"), "{resend}");
+    assert!(mismatch.contains("masticarch-code: 1017"), "{mismatch}");
+    assert_eq!(target.requests.load(Ordering::SeqCst), 1);
+}
+
+// Guards against a claim that is settled as not run although the request may
+// have run.
+#[test]
+fn failed_request_without_answer_stays_unknown() {
+    let script = target::Script {
+        close: true,
+        ..target::answering("")
+    };
+    let (node, target) = fleet::node_with_target(script);
+    let request = client::get("/alertas", "idempotency-key: k2\r\n");
+
+    let first = client::exchange(node.caller, &request);
+    fleet::wait_for(|| client::exchange(node.caller, &request).contains("code: 1013"));
+
+    assert!(first.contains("masticarch-ran: unknown"), "{first}");
+    assert_eq!(target.requests.load(Ordering::SeqCst), 1);
+}
+
+// Guards against a request that is cut off by a shutdown, and against a new one
+// that is run or left without an answer.
+#[test]
+fn shutdown_finishes_what_runs_and_refuses_what_is_new() {
+    let script = target::Script {
+        delay: Duration::from_millis(1500),
+        ..target::answering(OK)
+    };
+    let (mut node, target) = fleet::node_with_target(script);
+    let mut running = client::connect(node.caller);
+    let mut open = client::connect(node.caller);
+    running.write_all(&client::get("/guiones", "")).unwrap();
+    fleet::wait_for(|| target.requests.load(Ordering::SeqCst) == 1);
+
+    node.stop();
+    std::thread::sleep(Duration::from_millis(200));
+    open.write_all(b"GET /guiones HTTP/1.1\r\n\r\n").unwrap();
+    let refused = client::read_all(&mut open);
+    let finished = client::read_all(&mut running);
+    node.join();
+
+    assert!(finished.ends_with("hello"), "{finished}");
+    assert!(refused.contains("masticarch-code: 1009"), "{refused}");
+    assert!(refused.contains("masticarch-ran: no"), "{refused}");
+    assert!(refused.contains("connection: close"), "{refused}");
+    assert_eq!(target.requests.load(Ordering::SeqCst), 1);
+}
+
+// Guards against a target that is used although it stopped announcing itself.
+#[test]
+fn silent_target_is_removed() {
+    let node = fleet::node("uno", fleet::control());
+    let target = target::start(target::answering(OK));
+    node.announce_once(&target, 8);
+    node.wait_for_target();
+    let request = client::get("/guiones", "");
+    assert!(client::exchange(node.caller, &request).ends_with("hello"));
+
+    fleet::wait_for(|| client::exchange(node.caller, &request).contains("code: 1007"));
 }
--- a/crates/wire/tests/guards.rs
+++ b/crates/wire/tests/guards.rs
@@ -19,20 +19,17 @@
 /// Starts a server that answers each request with its path and body, and a
 /// faulty one with the reason of its fault.
 fn server() -> SocketAddr {
-    let probe = StdListener::bind("127.0.0.1:0").unwrap();
-    let address = probe.local_addr().unwrap();
-    drop(probe);
+    let listener = StdListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    listener.set_nonblocking(true).unwrap();
     thread::spawn(move || {
         runtime::run(async move {
-            let listener = TcpListener::bind(address).unwrap();
+            let listener = TcpListener::from_std(listener).unwrap();
             while let Ok((stream, _)) = listener.accept().await {
                 monoio::spawn(serve(connection::Connection::new(stream)));
             }
         })
     });
-    while StdStream::connect(address).is_err() {
-        thread::sleep(Duration::from_millis(5));
-    }
     address
 }
 
