Bound all buffered bodies, and test connections that go silent

Cause: only single bodies were bounded, and a shutdown waited for answers to be made but not for their last byte to be written. Change: bodies take space from one budget per process; a chunked body takes it as it grows. Requests count as in flight until their answer is written. Claims stop before sync, since a node that has left can settle nothing. With decisions switched off, the ledger and claims are passed over.

--- a/crates/node/src/admin/service.rs
+++ b/crates/node/src/admin/service.rs
@@ -4,17 +4,22 @@
 use monoio::net::TcpListener;
 
 use super::handler;
-use crate::{listener, name, services, session};
+use crate::{activity, listener, name, services, session};
 
 /// Largest body of an announcement.
 const MAX_BODY: usize = 4096;
 
 /// Accepts connections until asked to stop.
 pub async fn run(listener: TcpListener, services: services::Services, stop: stop::Stop) {
-    let ended = stop.clone();
+    // Requests of operators' tools hold up no shutdown.
+    let context = session::Context {
+        space: services.space(MAX_BODY),
+        activity: activity::Activity::default(),
+        stop: stop.clone(),
+    };
     listener::run(name::ADMIN, listener, stop, move |_, stream| {
         let handler = handler::Handler::new(services.clone());
-        session::run(stream, handler, MAX_BODY, ended.clone())
+        session::run(stream, handler, context.clone())
     })
     .await;
 }
--- a/crates/node/src/caller/handler.rs
+++ b/crates/node/src/caller/handler.rs
@@ -79,12 +79,13 @@
         request: request::Request,
         key: Option<Box<str>>,
     ) -> Result<answer::Answer, refusal::Refusal> {
-        if admission.recognised {
+        let decisions = self.services.options.decisions;
+        if decisions && admission.recognised {
             // Boxed, as most requests need no space for it.
             Box::pin(self.enter(&mut flight, &mut admission)).await?;
         }
         let mut hold = None;
-        if !admission.idempotent {
+        if decisions && !admission.idempotent {
             let key = key.unwrap_or_else(|| admission.root.clone());
             let claim = claim::claim(&self.services, &admission, key, &request);
             match Box::pin(claim).await? {
@@ -173,7 +174,6 @@
 
 impl session::Handler for Handler {
     async fn answer(&mut self, request: request::Request) -> answer::Answer {
-        let _guard = self.services.activity.enter();
         self.requests = self.requests.wrapping_add(1);
         match self.begin(request).await {
             Ok(answer) => {
--- a/crates/node/src/links/probe.rs
+++ b/crates/node/src/links/probe.rs
@@ -7,7 +7,7 @@
 use http::{Method, StatusCode, Uri};
 use masticarch_kernel::address;
 use masticarch_wire::handshake;
-use masticarch_wire::http::request;
+use masticarch_wire::http::{budget, connection, request};
 
 use super::{message, open};
 
@@ -44,7 +44,11 @@
 
 async fn probe(connection: &mut message::Connection) -> bool {
     let ping = request::Request::new(Method::GET, Uri::from_static("/ping"), Bytes::new());
-    let exchange = connection.exchange(&ping, ANSWER_BYTES);
+    let space = connection::Space {
+        max_body: ANSWER_BYTES,
+        budget: budget::Budget::new(ANSWER_BYTES),
+    };
+    let exchange = connection.exchange(&ping, &space);
     matches!(
         monoio::time::timeout(TIMEOUT, exchange).await,
         Ok(Ok(answer)) if answer.status == StatusCode::NO_CONTENT && answer.keep_alive
--- a/crates/node/src/peer/exchange.rs
+++ b/crates/node/src/peer/exchange.rs
@@ -27,8 +27,8 @@
     mut job: job::Job,
 ) -> job::Outcome {
     headers::write_entry(&mut job.request, &job.entry, &admission.route);
-    let max_body = services.options.max_answer_bytes;
-    match send(services, address, &job.request, max_body).await {
+    let space = services.answer_space();
+    match send(services, address, &job.request, &space).await {
         Ok(answer) => headers::read_outcome(answer),
         Err(refusal) => job::Outcome::refused(refusal),
     }
@@ -42,7 +42,8 @@
 ) -> Option<message::ledger::Reply> {
     let body = Bytes::from(message::encode(question));
     let request = request::Request::new(Method::POST, Uri::from_static("/ledger"), body);
-    let answer = send(services, address, &request, LEDGER_BYTES).await.ok()?;
+    let space = services.space(LEDGER_BYTES);
+    let answer = send(services, address, &request, &space).await.ok()?;
     message::decode(&answer.body).ok()
 }
 
@@ -51,7 +52,7 @@
     services: &services::Services,
     address: SocketAddr,
     request: &request::Request,
-    max_body: usize,
+    space: &connection::Space,
 ) -> Result<answer::Answer, refusal::Refusal> {
     let checkout = |slot| links::Message::Checkout(address, slot);
     let Ok(ticket) = services.links.ask(checkout).await else {
@@ -67,7 +68,7 @@
             .await
             .map_err(|_| unreachable_node())?,
     };
-    let exchange = connection.exchange(request, max_body);
+    let exchange = connection.exchange(request, space);
     let answer = match race::race(exchange, ticket.silent.wait()).await {
         Either::Left(answer) => answer.map_err(|failure| failed(&failure))?,
         Either::Right(()) => return Err(silent_node()),
--- a/crates/node/src/peer/handler.rs
+++ b/crates/node/src/peer/handler.rs
@@ -90,7 +90,6 @@
         // Requests between nodes carry the entry's headers; the others are
         // questions of the nodes themselves.
         if let Some(entry) = headers::read_entry(&request.headers) {
-            let _guard = self.services.activity.enter();
             return self.run(job::Job { entry, request }).await;
         }
         match request.uri.path() {
--- a/crates/node/src/peer/service.rs
+++ b/crates/node/src/peer/service.rs
@@ -9,13 +9,13 @@
 
 /// Accepts other nodes until asked to stop; idle connections close then.
 pub async fn run(listener: TcpListener, services: services::Services, stop: stop::Stop) {
-    let ended = stop.clone();
+    let context = services.session(&stop);
     listener::run(name::PEER, listener, stop, move |_, stream| {
         let open = services.metrics.opened("peer");
         let services = services.clone();
-        let ended = ended.clone();
+        let context = context.clone();
         async move {
-            serve(stream, services, ended).await;
+            serve(stream, services, context).await;
             drop(open);
         }
     })
@@ -24,11 +24,10 @@
 
 /// Serves one connection after the other side has proved membership. Anything
 /// else on the port closes its connection without an answer.
-async fn serve(mut stream: TcpStream, services: services::Services, stop: stop::Stop) {
+async fn serve(mut stream: TcpStream, services: services::Services, context: session::Context) {
     let credentials = std::slice::from_ref(&services.options.credential);
     let accepted = handshake::accept(&mut stream, handshake::Role::Peer, credentials).await;
     if accepted.is_ok() {
-        let max_body = services.options.max_request_bytes;
-        session::run(stream, handler::Handler::new(services), max_body, stop).await;
+        session::run(stream, handler::Handler::new(services), context).await;
     }
 }
--- a/crates/node/src/role.rs
+++ b/crates/node/src/role.rs
@@ -96,13 +96,15 @@
             stop,
         )
     });
+    kernel.start(name::SYNC, |stop| {
+        sync::service::run(mailboxes.sync, context(services), stop)
+    });
+    // Stops before `sync`, because the claims of a node that has left can no
+    // longer be settled.
     kernel.start(name::CLAIMS, |stop| {
         let own = services.claims.clone();
         claims::service::run(mailboxes.claims, own, options.clone(), incarnation, stop)
     });
-    kernel.start(name::SYNC, |stop| {
-        sync::service::run(mailboxes.sync, context(services), stop)
-    });
     kernel.start(name::LEASE, |stop| {
         lease::service::run(options.clone(), incarnation, services.gate.clone(), stop)
     });
--- a/crates/node/src/services.rs
+++ b/crates/node/src/services.rs
@@ -2,11 +2,12 @@
 
 use std::rc::Rc;
 
-use masticarch_kernel::{address, error, registry};
+use masticarch_kernel::{address, error, registry, stop};
 use masticarch_model::incarnation;
+use masticarch_wire::http::{budget, connection};
 
 use crate::{
-    activity, admission, claims, gate, ledger, links, metrics, name, options, sync, target,
+    activity, admission, claims, gate, ledger, links, metrics, name, options, session, sync, target,
 };
 
 /// Addresses of the services that connection tasks use, and the settings.
@@ -20,6 +21,8 @@
     pub metrics: metrics::Metrics,
     /// Requests in flight.
     pub activity: activity::Activity,
+    /// Bound on all buffered bodies.
+    pub budget: budget::Budget,
     /// Decisions at the entry.
     pub gate: address::Address<gate::message::Message>,
     /// Decisions beside the target.
@@ -47,11 +50,13 @@
         incarnation: incarnation::Incarnation,
         metrics: metrics::Metrics,
     ) -> Result<Self, error::Error> {
+        let budget = budget::Budget::new(options.buffer_bytes);
         Ok(Self {
             options,
             incarnation,
             metrics,
             activity: activity::Activity::default(),
+            budget,
             gate: registry.lookup(name::GATE)?,
             admission: registry.lookup(name::ADMISSION)?,
             ledger: registry.lookup(name::LEDGER)?,
@@ -61,4 +66,35 @@
             sync: registry.lookup(name::SYNC)?,
         })
     }
+
+    /// Space for request bodies.
+    #[must_use]
+    pub fn request_space(&self) -> connection::Space {
+        self.space(self.options.max_request_bytes)
+    }
+
+    /// Space for bodies of answers.
+    #[must_use]
+    pub fn answer_space(&self) -> connection::Space {
+        self.space(self.options.max_answer_bytes)
+    }
+
+    /// Space for bodies up to this many bytes.
+    #[must_use]
+    pub fn space(&self, max_body: usize) -> connection::Space {
+        connection::Space {
+            max_body,
+            budget: self.budget.clone(),
+        }
+    }
+
+    /// What the connections of a port share.
+    #[must_use]
+    pub fn session(&self, stop: &stop::Stop) -> session::Context {
+        session::Context {
+            space: self.request_space(),
+            activity: self.activity.clone(),
+            stop: stop.clone(),
+        }
+    }
 }
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -1,12 +1,17 @@
 //! Serves the requests of one accepted connection in their order.
 
+use std::time::Duration;
+
 use futures::future::Either;
 use http::Method;
 use masticarch_kernel::stop;
 use masticarch_wire::http::{answer, connection, fault, request};
 use monoio::net::TcpStream;
 
-use crate::race;
+use crate::{activity, race};
+
+/// Longest time for writing an answer to a slow reader.
+const REPLY_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Answers requests; one for each connection.
 pub trait Handler {
@@ -18,9 +23,25 @@
     fn refuse(&mut self, fault: &fault::Fault) -> answer::Answer;
 }
 
+/// What the connections of a port share.
+#[derive(Clone)]
+pub struct Context {
+    /// Space for request bodies.
+    pub space: connection::Space,
+    /// Counts the requests in flight.
+    pub activity: activity::Activity,
+    /// Asks the port to stop.
+    pub stop: stop::Stop,
+}
+
 /// Serves a connection until it closes, a message is faulty, or, while it is
 /// idle, the service is asked to stop.
-pub async fn run<H: Handler>(stream: TcpStream, mut handler: H, max_body: usize, stop: stop::Stop) {
+pub async fn run<H: Handler>(stream: TcpStream, mut handler: H, context: Context) {
+    let Context {
+        space,
+        activity,
+        stop,
+    } = context;
     let mut connection = connection::Connection::new(stream);
     loop {
         if !matches!(
@@ -29,7 +50,7 @@
         ) {
             return;
         }
-        let request = match connection.receive(max_body).await {
+        let request = match connection.receive(&space).await {
             Ok(request) => request,
             Err(fault::Fault::Closed) => return,
             Err(fault) => {
@@ -38,6 +59,8 @@
                 return end(&mut connection, &answer).await;
             }
         };
+        // Held until the answer is written, so that a shutdown waits for it.
+        let _guard = activity.enter();
         // Boxed, so that an idle connection does not keep the space.
         if !Box::pin(serve(&mut connection, &mut handler, request, &stop)).await {
             return;
@@ -59,7 +82,8 @@
         return false;
     };
     answer.keep_alive &= keep_alive && !stop.is_set();
-    if connection.reply(&answer, head_only).await.is_err() {
+    let reply = monoio::time::timeout(REPLY_TIMEOUT, connection.reply(&answer, head_only));
+    if !matches!(reply.await, Ok(Ok(()))) {
         return false;
     }
     if !answer.keep_alive {
--- a/crates/node/src/target/run.rs
+++ b/crates/node/src/target/run.rs
@@ -63,9 +63,7 @@
         None => Box::pin(open(address)).await?,
     };
     call.sending();
-    let exchanged = connection
-        .exchange(request, services.options.max_answer_bytes)
-        .await;
+    let exchanged = connection.exchange(request, &services.answer_space()).await;
     let mut answer = exchanged.map_err(|failure| failed(&failure))?;
     if answer.keep_alive {
         slot.connection = Some(connection);
--- a/crates/node/tests/common/fleet.rs
+++ b/crates/node/tests/common/fleet.rs
@@ -56,6 +56,11 @@
 
 /// Starts a node.
 pub fn node(name: &str, control: SocketAddr) -> Node {
+    node_at(name, control, None)
+}
+
+/// Starts a node that others reach at another address than its own.
+pub fn node_at(name: &str, control: SocketAddr, advertised: Option<SocketAddr>) -> Node {
     let (caller, peer, admin) = (address(), address(), address());
     let options = options::Options::builder()
         .name(name.into())
@@ -66,6 +71,7 @@
         .caller(caller)
         .peer(peer)
         .admin(admin)
+        .maybe_advertised(advertised)
         .control(vec![control])
         .credential(credential())
         .max_request_bytes(1000)
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -4,4 +4,5 @@
 pub mod client;
 pub mod control;
 pub mod fleet;
+pub mod proxy;
 pub mod target;
--- /dev/null
+++ b/crates/node/tests/common/proxy.rs
@@ -0,0 +1,66 @@
+//! A proxy whose open connections can go silent while new ones work.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::Duration;
+
+/// A running proxy.
+pub struct Proxy {
+    pub address: SocketAddr,
+    generation: Arc<AtomicUsize>,
+}
+
+/// Starts a proxy on an address that other processes already know.
+pub fn start(address: SocketAddr, to: SocketAddr) -> Proxy {
+    let listener = TcpListener::bind(address).unwrap();
+    let generation = Arc::new(AtomicUsize::new(0));
+    let shared = generation.clone();
+    thread::spawn(move || {
+        for near in listener.incoming().flatten() {
+            let Ok(far) = TcpStream::connect(to) else {
+                continue;
+            };
+            near.set_nodelay(true).unwrap();
+            far.set_nodelay(true).unwrap();
+            let ways = [
+                (near.try_clone().unwrap(), far.try_clone().unwrap()),
+                (far, near),
+            ];
+            let born = shared.load(Ordering::SeqCst);
+            for (from, to) in ways {
+                let shared = shared.clone();
+                thread::spawn(move || copy(from, to, || shared.load(Ordering::SeqCst) == born));
+            }
+        }
+    });
+    Proxy {
+        address,
+        generation,
+    }
+}
+
+impl Proxy {
+    /// Lets the open connections pass nothing more; they stay open.
+    pub fn silence(&self) {
+        self.generation.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
+fn copy(mut from: TcpStream, mut to: TcpStream, passes: impl Fn() -> bool) {
+    let mut buffer = [0; 4096];
+    while let Ok(count) = from.read(&mut buffer) {
+        if count == 0 {
+            break;
+        }
+        while !passes() {
+            thread::sleep(Duration::from_secs(1));
+        }
+        if to.write_all(&buffer[..count]).is_err() {
+            break;
+        }
+    }
+    let _ = to.shutdown(std::net::Shutdown::Both);
+}
--- /dev/null
+++ b/crates/node/tests/links.rs
@@ -0,0 +1,43 @@
+//! Connections between nodes that go silent.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{client, fleet, proxy, target};
+
+const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello";
+
+/// Two nodes, of which the second has a target and is reached through a proxy.
+fn pair_behind_proxy() -> (fleet::Node, fleet::Node, proxy::Proxy) {
+    let control = fleet::control();
+    let near = fleet::node("near", control);
+    let advertised = fleet::address();
+    let far = fleet::node_at("far", control, Some(advertised));
+    let proxy = proxy::start(advertised, far.peer);
+    far.announce(&target::start(target::answering(OK)), 8);
+    near.wait_for_target();
+    (near, far, proxy)
+}
+
+// Guards against requests that keep using connections which have gone silent,
+// while new connections work.
+#[test]
+fn silent_connections_are_given_up() {
+    let (near, _far, proxy) = pair_behind_proxy();
+    let request = client::get("/guiones", "");
+    let before = client::exchange(near.caller, &request);
+    assert!(before.ends_with("hello"), "{before}");
+    // Later than the first probe, so that the watch must notice by itself.
+    std::thread::sleep(Duration::from_millis(300));
+
+    proxy.silence();
+    let begun = Instant::now();
+    let lost = client::exchange(near.caller, &request);
+    let noticed = begun.elapsed();
+    let after = client::exchange(near.caller, &request);
+
+    assert!(noticed < Duration::from_millis(1500), "{noticed:?}: {lost}");
+    assert!(lost.contains("masticarch-ran: unknown"), "{lost}");
+    assert!(after.ends_with("hello"), "{after}");
+}
--- a/crates/wire/src/http/answer.rs
+++ b/crates/wire/src/http/answer.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, StatusCode};
 
-use super::request;
+use super::{budget, request};
 
 /// An answer with its whole body.
 #[derive(Clone, Debug)]
@@ -14,6 +14,8 @@
     pub headers: HeaderMap,
     /// Whole body.
     pub body: Bytes,
+    /// Space that the body takes from the budget.
+    pub share: budget::Share,
     /// Whether the sender keeps the connection open.
     pub keep_alive: bool,
 }
@@ -26,6 +28,7 @@
             status,
             headers: HeaderMap::new(),
             body: body.into(),
+            share: budget::Share::default(),
             keep_alive: true,
         }
     }
--- a/crates/wire/src/http/connection.rs
+++ b/crates/wire/src/http/connection.rs
@@ -10,7 +10,7 @@
 use monoio_codec::{Decoded, Decoder};
 use monoio_http::h1::codec::decoder;
 
-use super::{answer, fault, framing, guard, limits, request};
+use super::{answer, budget, fault, framing, guard, limits, request};
 
 /// Least space made for one read.
 const READ_BYTES: usize = 4 << 10;
@@ -28,6 +28,28 @@
 /// Larger input buffers are not kept between messages.
 const KEPT_BYTES: usize = 64 << 10;
 
+/// Space for the bodies that a connection receives.
+#[derive(Clone, Debug)]
+pub struct Space {
+    /// Largest body.
+    pub max_body: usize,
+    /// Bound on the bodies of all connections.
+    pub budget: budget::Budget,
+}
+
+impl Space {
+    fn take(&self, bytes: usize) -> Result<budget::Share, fault::Fault> {
+        self.budget.take(bytes).ok_or(fault::Fault::BufferFull)
+    }
+}
+
+/// A whole body and the space it takes.
+#[derive(Default)]
+struct Whole {
+    bytes: Bytes,
+    share: budget::Share,
+}
+
 /// Why a request got no answer.
 #[derive(Debug)]
 pub struct Failure {
@@ -68,7 +90,7 @@
     ///
     /// # Errors
     /// A [`fault::Fault`], after which the connection must be closed.
-    pub async fn receive(&mut self, max_body: usize) -> Result<request::Request, fault::Fault> {
+    pub async fn receive(&mut self, space: &Space) -> Result<request::Request, fault::Fault> {
         let mut head = self.head(limits::HEAD_TIMEOUT).await?;
         let Decoded::Some(head) = decoder::RequestHeadDecoder
             .decode(&mut head)
@@ -81,13 +103,14 @@
             self.write(Bytes::from_static(b"HTTP/1.1 100 Continue\r\n\r\n"))
                 .await?;
         }
-        let body = self.body_in_time(framing, max_body).await?;
+        let whole = self.body_in_time(framing, space).await?;
         Ok(request::Request {
             keep_alive: request::keeps_alive(head.version, &head.headers),
             method: head.method,
             uri: head.uri,
             headers: head.headers,
-            body,
+            body: whole.bytes,
+            share: whole.share,
         })
     }
 
@@ -157,10 +180,10 @@
     pub async fn exchange(
         &mut self,
         request: &request::Request,
-        max_body: usize,
+        space: &Space,
     ) -> Result<answer::Answer, Failure> {
         self.send(request).await?;
-        let answer = self.receive_answer(&request.method, max_body).await;
+        let answer = self.receive_answer(&request.method, space).await;
         answer.map_err(|fault| Failure { fault, sent: true })
     }
 
@@ -196,7 +219,7 @@
     async fn receive_answer(
         &mut self,
         method: &Method,
-        max_body: usize,
+        space: &Space,
     ) -> Result<answer::Answer, fault::Fault> {
         for _ in 0..limits::INTERIM_ANSWERS {
             let mut head = self.whole_head().await?;
@@ -210,14 +233,15 @@
                 continue;
             }
             let framing = framing::Framing::answer(method, head.status, &head.headers)?;
-            let body = self.body(framing, max_body).await?;
+            let whole = self.body(framing, space).await?;
             // Bytes after the answer belong to no request of this connection.
             let keep_alive =
                 self.input.is_empty() && request::keeps_alive(head.version, &head.headers);
             return Ok(answer::Answer {
                 status: head.status,
                 headers: head.headers,
-                body,
+                body: whole.bytes,
+                share: whole.share,
                 keep_alive,
             });
         }
@@ -253,12 +277,12 @@
     async fn body_in_time(
         &mut self,
         framing: framing::Framing,
-        max_body: usize,
-    ) -> Result<Bytes, fault::Fault> {
+        space: &Space,
+    ) -> Result<Whole, fault::Fault> {
         if framing == framing::Framing::None {
-            return Ok(Bytes::new());
+            return Ok(Whole::default());
         }
-        monoio::time::timeout(limits::BODY_TIMEOUT, self.body(framing, max_body))
+        monoio::time::timeout(limits::BODY_TIMEOUT, self.body(framing, space))
             .await
             .map_err(|_| fault::Fault::Slow)?
     }
@@ -266,15 +290,18 @@
     async fn body(
         &mut self,
         framing: framing::Framing,
-        max_body: usize,
-    ) -> Result<Bytes, fault::Fault> {
+        space: &Space,
+    ) -> Result<Whole, fault::Fault> {
         match framing {
-            framing::Framing::None => Ok(Bytes::new()),
-            framing::Framing::Length(length) if length > max_body => {
+            framing::Framing::None => Ok(Whole::default()),
+            framing::Framing::Length(length) if length > space.max_body => {
                 Err(fault::Fault::BodyTooLarge)
             }
-            framing::Framing::Length(length) => self.fixed(length).await,
-            framing::Framing::Chunked => self.chunked(max_body).await,
+            framing::Framing::Length(length) => Ok(Whole {
+                share: space.take(length)?,
+                bytes: self.fixed(length).await?,
+            }),
+            framing::Framing::Chunked => self.chunked(space).await,
         }
     }
 
@@ -291,7 +318,8 @@
         Ok(body)
     }
 
-    async fn chunked(&mut self, max_body: usize) -> Result<Bytes, fault::Fault> {
+    async fn chunked(&mut self, space: &Space) -> Result<Whole, fault::Fault> {
+        let share = space.take(0)?;
         let mut decoder = decoder::ChunkedBodyDecoder::default();
         let mut body = BytesMut::new();
         loop {
@@ -302,13 +330,18 @@
             if !self.input[0].is_ascii_hexdigit() {
                 return Err(fault::Fault::Malformed("chunk size"));
             }
-            match self.chunk(&mut decoder, max_body - body.len()).await? {
-                Some(chunk) if chunk.len() > max_body - body.len() => {
-                    return Err(fault::Fault::BodyTooLarge);
-                }
-                Some(chunk) => body.extend_from_slice(&chunk),
-                None => return Ok(body.freeze()),
+            let left = space.max_body - body.len();
+            let Some(chunk) = self.chunk(&mut decoder, left).await? else {
+                let bytes = body.freeze();
+                return Ok(Whole { bytes, share });
+            };
+            if chunk.len() > left {
+                return Err(fault::Fault::BodyTooLarge);
+            }
+            if !share.grow(chunk.len()) {
+                return Err(fault::Fault::BufferFull);
             }
+            body.extend_from_slice(&chunk);
         }
     }
 
--- a/crates/wire/src/http/fault.rs
+++ b/crates/wire/src/http/fault.rs
@@ -24,6 +24,10 @@
         BodyTooLarge {
             display("the body exceeds the limit")
         }
+        /// No space is left for another body.
+        BufferFull {
+            display("no space is left for the body")
+        }
         /// The message did not arrive in time.
         Slow {
             display("the message did not arrive in time")
@@ -48,6 +52,7 @@
             Self::Malformed(_) => code::Code::BadRequest,
             Self::HeadTooLarge(_) => code::Code::HeadTooLarge,
             Self::BodyTooLarge => code::Code::BodyTooLarge,
+            Self::BufferFull => code::Code::BufferFull,
             Self::Slow => code::Code::SlowSender,
             Self::ConflictingLength => code::Code::ConflictingLength,
         }
@@ -58,7 +63,8 @@
     pub const fn answer_code(&self) -> code::Code {
         match self {
             Self::Truncated => code::Code::AnswerTruncated,
-            Self::BodyTooLarge => code::Code::AnswerTooLarge,
+            // The target has run, which the code for a full buffer would deny.
+            Self::BodyTooLarge | Self::BufferFull => code::Code::AnswerTooLarge,
             Self::Slow => code::Code::TargetTimeout,
             Self::Closed | Self::Malformed(_) | Self::HeadTooLarge(_) | Self::ConflictingLength => {
                 code::Code::TargetFailed
--- a/crates/wire/src/http/mod.rs
+++ b/crates/wire/src/http/mod.rs
@@ -2,6 +2,7 @@
 //! bodies are read whole and within limits.
 
 pub mod answer;
+pub mod budget;
 pub mod connection;
 pub mod fault;
 pub mod fields;
--- a/crates/wire/src/http/request.rs
+++ b/crates/wire/src/http/request.rs
@@ -3,6 +3,8 @@
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, Uri, Version, header};
 
+use super::budget;
+
 /// A request with its whole body.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -14,6 +16,8 @@
     pub headers: HeaderMap,
     /// Whole body.
     pub body: Bytes,
+    /// Space that the body takes from the budget.
+    pub share: budget::Share,
     /// Whether the sender keeps the connection open after the answer.
     pub keep_alive: bool,
 }
@@ -27,6 +31,7 @@
             uri,
             headers: HeaderMap::new(),
             body,
+            share: budget::Share::default(),
             keep_alive: true,
         }
     }
--- a/crates/wire/tests/guards.rs
+++ b/crates/wire/tests/guards.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http::{Method, StatusCode, Uri};
 use masticarch_kernel::runtime;
-use masticarch_wire::http::{answer, connection, fields, request};
+use masticarch_wire::http::{answer, budget, connection, fields, request};
 use masticarch_wire::socket;
 use monoio::net::TcpListener;
 use rstest::rstest;
@@ -16,6 +16,14 @@
 const MAX_BODY: usize = 100;
 const READ_LIMIT: Duration = Duration::from_secs(9);
 
+/// Space of its own for one message.
+fn space() -> connection::Space {
+    connection::Space {
+        max_body: MAX_BODY,
+        budget: budget::Budget::new(MAX_BODY),
+    }
+}
+
 /// Starts a server that answers each request with its path and body, and a
 /// faulty one with the reason of its fault.
 fn server() -> SocketAddr {
@@ -35,7 +43,7 @@
 
 async fn serve(mut connection: connection::Connection<monoio::net::TcpStream>) {
     while connection.ready().await {
-        match connection.receive(MAX_BODY).await {
+        match connection.receive(&space()).await {
             Ok(request) => {
                 let body = [request.uri.path().as_bytes(), &request.body].concat();
                 let mut answer = answer::Answer::new(StatusCode::OK, body);
@@ -165,7 +173,7 @@
         let stream = socket::connect(address).await.unwrap();
         let mut connection = connection::Connection::new(stream);
         let request = request::Request::new(Method::GET, Uri::from_static("/"), Bytes::new());
-        connection.exchange(&request, MAX_BODY).await
+        connection.exchange(&request, &space()).await
     })
     .unwrap()
 }
@@ -236,3 +244,23 @@
     let left: Vec<&str> = headers.keys().map(http::HeaderName::as_str).collect();
     assert_eq!(left, ["x-kept"]);
 }
+
+// Guards against bodies that together take more memory than the budget, and
+// against space that is not given back.
+#[test]
+fn budget_bounds_all_bodies() {
+    let budget = budget::Budget::new(10);
+
+    let first = budget.take(4).unwrap();
+    let grown = first.grow(2);
+    let second = budget.take(6);
+    drop(first.clone());
+    let third = budget.take(6);
+    drop(first);
+    let fourth = budget.take(10);
+
+    assert!(grown);
+    assert!(second.is_none());
+    assert!(third.is_none());
+    assert!(fourth.is_some());
+}
