--- a/crates/node/src/target/run.rs
+++ b/crates/node/src/target/run.rs
@@ -59,12 +59,11 @@
     let mut slot = checkout(services, address).await?;
     let mut connection = match slot.connection.take() {
         Some(connection) => connection,
-        None => open(address).await?,
+        // Boxed, as the less frequent way takes more space than the other.
+        None => Box::pin(open(address)).await?,
     };
     call.sending();
-    let exchanged = connection
-        .exchange(request, services.options.max_answer_bytes)
-        .await;
+    let exchanged = connection.exchange(request, &services.answer_space()).await;
     let mut answer = exchanged.map_err(|failure| failed(&failure))?;
     if answer.keep_alive {
         slot.connection = Some(connection);
