Add the stand-in target

Experiments and integration tests need a target with known slots, service times and faults. The stand-in is a kernel with the services work, target, control and announcer; work owns slots, queue, behaviour and records.

--- /dev/null
+++ b/crates/load/src/commands/mod.rs
@@ -0,0 +1,36 @@
+//! Subcommands.
+
+mod standin;
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use clap::Parser;
+use masticarch_load::error;
+use serde::de::DeserializeOwned;
+
+/// Load tests of masticarch.
+#[derive(Debug, Parser)]
+#[command(name = "masticarch-load", version)]
+pub enum Command {
+    /// Runs a stand-in target.
+    Standin(standin::Standin),
+}
+
+impl Command {
+    /// Runs the subcommand.
+    pub fn run(self) -> Result<ExitCode, error::Error> {
+        match self {
+            Self::Standin(command) => command.run(),
+        }
+    }
+}
+
+/// Reads a YAML file.
+fn read<T: DeserializeOwned>(path: &Path) -> Result<T, error::Error> {
+    let text = std::fs::read_to_string(path)?;
+    serde_saphyr::from_str(&text).map_err(|failure| {
+        let reason = format!("{}: {failure}", path.display());
+        error::Error::Parse(reason)
+    })
+}
--- /dev/null
+++ b/crates/load/src/commands/standin.rs
@@ -0,0 +1,70 @@
+//! Subcommand `standin`.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Args;
+use masticarch_kernel::runtime;
+use masticarch_load::{error, standin};
+
+/// Runs a stand-in target until it is ended.
+#[derive(Debug, Args)]
+pub struct Standin {
+    /// YAML file with the settings; replaces all flags.
+    #[arg(long)]
+    settings: Option<PathBuf>,
+    /// Service whose target it is.
+    #[arg(long, required_unless_present = "settings")]
+    service: Option<String>,
+    /// Listening address for requests.
+    #[arg(long, required_unless_present = "settings")]
+    address: Option<SocketAddr>,
+    /// Listening address for control.
+    #[arg(long, required_unless_present = "settings")]
+    control: Option<SocketAddr>,
+    /// Admin port of its node.
+    #[arg(long)]
+    node_admin: Option<SocketAddr>,
+    /// Caller port of its node.
+    #[arg(long)]
+    node_caller: Option<SocketAddr>,
+    /// Requests that run at once.
+    #[arg(long, default_value_t = 70)]
+    slots: usize,
+    /// Connections at once.
+    #[arg(long, default_value_t = 530)]
+    connections: usize,
+    /// Time of each request's work in milliseconds.
+    #[arg(long, default_value_t = 10.0)]
+    service_ms: f64,
+}
+
+impl Standin {
+    /// Runs the stand-in.
+    pub fn run(self) -> Result<ExitCode, error::Error> {
+        let settings = self.into_settings()?;
+        runtime::run(async {
+            let _handle = standin::Handle::start(settings)?;
+            std::future::pending().await
+        })?
+    }
+
+    fn into_settings(self) -> Result<standin::Settings, error::Error> {
+        if let Some(path) = &self.settings {
+            return super::read(path);
+        }
+        let missing = || error::Error::Parse("a required flag is missing".into());
+        let settings = standin::Settings::builder()
+            .service(self.service.ok_or_else(missing)?)
+            .address(self.address.ok_or_else(missing)?)
+            .control(self.control.ok_or_else(missing)?)
+            .maybe_node_admin(self.node_admin)
+            .maybe_node_caller(self.node_caller)
+            .slots(self.slots)
+            .connections(self.connections)
+            .service_ms(standin::distribution::Distribution::Fixed(self.service_ms))
+            .build();
+        Ok(settings)
+    }
+}
--- /dev/null
+++ b/crates/load/src/standin/announcer.rs
@@ -0,0 +1,74 @@
+//! The service `announcer`: tells the node of a stand-in that it is there.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request};
+use masticarch_kernel::{address, name, stop};
+use serde::Serialize;
+
+use super::{settings, work};
+use crate::error;
+use crate::http::connection;
+
+/// Name of the service.
+pub const NAME: name::Name = name::Name::new("announcer");
+/// Time between two announcements; the node forgets a target after 3 s.
+pub const INTERVAL: Duration = Duration::from_secs(1);
+/// Longest wait for the node's answer.
+const TIMEOUT: Duration = Duration::from_millis(800);
+
+/// The body of an announcement.
+#[derive(Debug, Serialize)]
+struct Announcement {
+    address: SocketAddr,
+    slots: usize,
+    connections: usize,
+    state: &'static str,
+}
+
+/// Announces the stand-in until the service stops.
+pub async fn run(
+    settings: settings::Settings,
+    work: address::Address<work::Message>,
+    stop: stop::Stop,
+) {
+    let Some(admin) = settings.node_admin else {
+        return;
+    };
+    while let Ok(state) = work.ask(work::Message::Describe).await {
+        if state.behaviour.announcing {
+            let announcement = announce(admin, &settings, state.behaviour.draining);
+            let _ = monoio::time::timeout(TIMEOUT, announcement).await;
+        }
+        monoio::select! {
+            () = monoio::time::sleep(INTERVAL) => {}
+            () = stop.wait() => return,
+        }
+    }
+}
+
+async fn announce(
+    admin: SocketAddr,
+    settings: &settings::Settings,
+    draining: bool,
+) -> Result<(), error::Error> {
+    let announcement = Announcement {
+        address: settings.address,
+        slots: settings.slots,
+        connections: settings.connections,
+        state: if draining { "draining" } else { "serving" },
+    };
+    let body = serde_json::to_vec(&announcement)
+        .map_err(|failure| error::Error::Parse(failure.to_string()))?;
+    let request = Request::builder()
+        .method(Method::PUT)
+        .uri(format!("/targets/{}", settings.service))
+        .header(http::header::HOST, "node")
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .body(Bytes::from(body))
+        .map_err(|failure| error::Error::Parse(failure.to_string()))?;
+    connection::once(admin, request).await?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/load/src/standin/behaviour.rs
@@ -0,0 +1,67 @@
+//! What can be changed while a stand-in runs.
+
+use serde::{Deserialize, Serialize};
+
+/// The present behaviour of a stand-in.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Behaviour {
+    /// Factor on the service time.
+    pub slow_down: f64,
+    /// Share of requests that run and then fail with 500.
+    pub failure_share: f64,
+    /// Whether it announces that it is leaving.
+    pub draining: bool,
+    /// Whether it announces itself at all.
+    pub announcing: bool,
+    /// What `GET /health` claims, whatever the state is.
+    pub healthy: bool,
+    /// Requests in flight that `GET /load` claims, in place of the true number.
+    pub claimed_load: Option<usize>,
+}
+
+impl Default for Behaviour {
+    fn default() -> Self {
+        Self {
+            slow_down: 1.0,
+            failure_share: 0.0,
+            draining: false,
+            announcing: true,
+            healthy: true,
+            claimed_load: None,
+        }
+    }
+}
+
+/// A change of the behaviour; absent fields stay as they are.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Change {
+    /// New value of [`Behaviour::slow_down`].
+    pub slow_down: Option<f64>,
+    /// New value of [`Behaviour::failure_share`].
+    pub failure_share: Option<f64>,
+    /// New value of [`Behaviour::draining`].
+    pub draining: Option<bool>,
+    /// New value of [`Behaviour::announcing`].
+    pub announcing: Option<bool>,
+    /// New value of [`Behaviour::healthy`].
+    pub healthy: Option<bool>,
+    /// New value of [`Behaviour::claimed_load`].
+    pub claimed_load: Option<usize>,
+}
+
+impl Behaviour {
+    /// The behaviour after a change.
+    #[must_use]
+    pub fn with(self, change: Change) -> Self {
+        Self {
+            slow_down: change.slow_down.unwrap_or(self.slow_down),
+            failure_share: change.failure_share.unwrap_or(self.failure_share),
+            draining: change.draining.unwrap_or(self.draining),
+            announcing: change.announcing.unwrap_or(self.announcing),
+            healthy: change.healthy.unwrap_or(self.healthy),
+            claimed_load: change.claimed_load.or(self.claimed_load),
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/standin/control.rs
@@ -0,0 +1,65 @@
+//! The service `control`: changes and records of a stand-in over HTTP.
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use masticarch_kernel::{address, name};
+use serde::Serialize;
+
+use super::work;
+use crate::http::server;
+
+/// Name of the service.
+pub const NAME: name::Name = name::Name::new("control");
+/// Connections at once.
+pub const CONNECTIONS: usize = 16;
+
+/// Answers `PUT /control` and `GET /executions`.
+#[derive(Clone)]
+pub struct Control {
+    work: address::Address<work::Message>,
+}
+
+impl Control {
+    /// Makes a handler that asks `work`.
+    #[must_use]
+    pub const fn new(work: address::Address<work::Message>) -> Self {
+        Self { work }
+    }
+
+    async fn answer(self, request: Request<Bytes>) -> Option<Response<Bytes>> {
+        match (request.method(), request.uri().path()) {
+            (&Method::PUT, "/control") => self.change(request.body()).await,
+            (&Method::GET, "/executions") => {
+                let executions = self.work.ask(work::Message::Executions).await.ok()?;
+                Some(json(&executions))
+            }
+            _ => Some(server::answer(StatusCode::NOT_FOUND, "no such resource")),
+        }
+    }
+
+    async fn change(&self, body: &[u8]) -> Option<Response<Bytes>> {
+        match serde_json::from_slice(body) {
+            Ok(change) => {
+                let change = self.work.ask(|reply| work::Message::Change(change, reply));
+                Some(json(&change.await.ok()?))
+            }
+            Err(failure) => Some(server::answer(StatusCode::BAD_REQUEST, failure.to_string())),
+        }
+    }
+}
+
+fn json<T: Serialize>(value: &T) -> Response<Bytes> {
+    match serde_json::to_vec(value) {
+        Ok(body) => server::answer(StatusCode::OK, body),
+        Err(_) => server::answer(StatusCode::INTERNAL_SERVER_ERROR, ""),
+    }
+}
+
+impl server::Handler for Control {
+    fn handle(
+        &self,
+        request: Request<Bytes>,
+    ) -> impl Future<Output = Option<Response<Bytes>>> + 'static {
+        self.clone().answer(request)
+    }
+}
--- /dev/null
+++ b/crates/load/src/standin/distribution.rs
@@ -0,0 +1,41 @@
+//! Distribution of service times.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// How long the work of a request takes, in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Distribution {
+    /// Always the same.
+    Fixed(f64),
+    /// Evenly spread between two times.
+    Uniform {
+        /// Shortest time.
+        low: f64,
+        /// Longest time.
+        high: f64,
+    },
+    /// Exponential with this mean.
+    Exponential(f64),
+}
+
+impl Distribution {
+    /// Draws a time.
+    #[must_use]
+    pub fn draw(self, random: &mut fastrand::Rng) -> Duration {
+        let milliseconds = match self {
+            Self::Fixed(time) => time,
+            Self::Uniform { low, high } => low + (high - low) * random.f64(),
+            Self::Exponential(mean) => -mean * (1.0 - random.f64()).ln(),
+        };
+        Duration::from_secs_f64(milliseconds.max(0.0) / 1000.0)
+    }
+}
+
+impl Default for Distribution {
+    fn default() -> Self {
+        Self::Fixed(10.0)
+    }
+}
--- /dev/null
+++ b/crates/load/src/standin/handle.rs
@@ -0,0 +1,81 @@
+//! A running stand-in.
+
+use std::time::{Duration, Instant};
+
+use masticarch_kernel::{address, kernel};
+use monoio::net::TcpListener;
+
+use super::{announcer, behaviour, control, record, settings, target, work};
+use crate::error;
+use crate::http::server;
+
+/// Messages that `work` holds before senders wait.
+const CAPACITY: usize = 1024;
+
+/// A stand-in that runs on the current runtime.
+pub struct Handle {
+    kernel: kernel::Kernel,
+    work: address::Address<work::Message>,
+}
+
+impl Handle {
+    /// Starts a stand-in on the current runtime.
+    ///
+    /// # Errors
+    /// [`error::Error::Io`] when an address cannot be bound.
+    pub fn start(settings: settings::Settings) -> Result<Self, error::Error> {
+        let requests = TcpListener::bind(settings.address)?;
+        let controls = TcpListener::bind(settings.control)?;
+        let mut kernel = kernel::Kernel::new();
+        let mailbox = kernel.register::<work::Message>(work::NAME, CAPACITY)?;
+        let address = kernel.registry().lookup::<work::Message>(work::NAME)?;
+        let state = work::Work::new(settings.clone(), Instant::now());
+        kernel.start(work::NAME, |stop| state.run(mailbox, stop));
+        let handler = target::Target::new(settings.clone(), address.clone());
+        let limit = settings.connections;
+        kernel.start(target::NAME, |stop| {
+            server::serve(requests, limit, handler, stop)
+        });
+        let handler = control::Control::new(address.clone());
+        kernel.start(control::NAME, |stop| {
+            server::serve(controls, control::CONNECTIONS, handler, stop)
+        });
+        let work = address.clone();
+        kernel.start(announcer::NAME, |stop| announcer::run(settings, work, stop));
+        Ok(Self {
+            kernel,
+            work: address,
+        })
+    }
+
+    /// The address of `work`, usable from other threads.
+    #[must_use]
+    pub fn work(&self) -> address::Address<work::Message> {
+        self.work.clone()
+    }
+
+    /// Changes the behaviour.
+    ///
+    /// # Errors
+    /// [`error::Error::Kernel`] when the stand-in has stopped.
+    pub async fn change(
+        &self,
+        change: behaviour::Change,
+    ) -> Result<behaviour::Behaviour, error::Error> {
+        let build = |reply| work::Message::Change(change, reply);
+        Ok(self.work.ask(build).await?)
+    }
+
+    /// Reads the executions so far.
+    ///
+    /// # Errors
+    /// [`error::Error::Kernel`] when the stand-in has stopped.
+    pub async fn executions(&self) -> Result<record::Executions, error::Error> {
+        Ok(self.work.ask(work::Message::Executions).await?)
+    }
+
+    /// Stops the stand-in.
+    pub async fn stop(self, limit: Duration) {
+        self.kernel.shutdown(limit).await;
+    }
+}
--- /dev/null
+++ b/crates/load/src/standin/record.rs
@@ -0,0 +1,73 @@
+//! What a stand-in remembers of its executions.
+
+use std::collections::BTreeMap;
+
+use http::HeaderMap;
+use masticarch_wire::header;
+use serde::{Deserialize, Serialize};
+
+/// Prefix of every key as shown to its holder.
+const KEY_PREFIX: &[u8] = b"mk_";
+
+/// What a request says about itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Visit {
+    /// Root request id.
+    pub request_id: Option<String>,
+    /// Idempotency key.
+    pub idempotency_key: Option<String>,
+    /// Whether a header contains a key.
+    pub shows_key: bool,
+}
+
+impl Visit {
+    /// Reads the headers of a request.
+    #[must_use]
+    pub fn of(headers: &HeaderMap) -> Self {
+        let text = |name: &str| {
+            let value = headers.get(name)?;
+            value.to_str().ok().map(str::to_owned)
+        };
+        Self {
+            request_id: text(header::REQUEST_ID),
+            idempotency_key: text(header::IDEMPOTENCY_KEY),
+            shows_key: shows_key(headers),
+        }
+    }
+}
+
+fn shows_key(headers: &HeaderMap) -> bool {
+    let named = headers.contains_key(header::KEY);
+    let inside = |value: &[u8]| {
+        value
+            .windows(KEY_PREFIX.len())
+            .any(|part| part == KEY_PREFIX)
+    };
+    named || headers.values().any(|value| inside(value.as_bytes()))
+}
+
+/// Executions since the start.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Executions {
+    /// All executions.
+    pub total: u64,
+    /// Executions by root request id.
+    pub by_request_id: BTreeMap<String, u64>,
+    /// Executions by idempotency key.
+    pub by_idempotency_key: BTreeMap<String, u64>,
+    /// Requests with a header that contained a key, run or not.
+    pub keys_seen: u64,
+}
+
+impl Executions {
+    /// Counts one execution.
+    pub fn count(&mut self, visit: Visit) {
+        self.total += 1;
+        if let Some(id) = visit.request_id {
+            *self.by_request_id.entry(id).or_default() += 1;
+        }
+        if let Some(key) = visit.idempotency_key {
+            *self.by_idempotency_key.entry(key).or_default() += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/standin/target.rs
@@ -0,0 +1,105 @@
+//! The service `target`: requests to a stand-in.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use masticarch_kernel::{address, name};
+
+use super::{calls, record, settings, work};
+use crate::http::server;
+
+/// Name of the service.
+pub const NAME: name::Name = name::Name::new("target");
+
+/// Runs requests in the slots of the stand-in.
+#[derive(Clone)]
+pub struct Target {
+    settings: Rc<settings::Settings>,
+    work: address::Address<work::Message>,
+}
+
+impl Target {
+    /// Makes a handler that asks `work` for slots.
+    #[must_use]
+    pub fn new(settings: settings::Settings, work: address::Address<work::Message>) -> Self {
+        Self {
+            settings: Rc::new(settings),
+            work,
+        }
+    }
+
+    async fn answer(self, request: Request<Bytes>) -> Option<Response<Bytes>> {
+        match request.uri().path() {
+            "/health" => return self.health().await,
+            "/load" => return self.load().await,
+            _ => {}
+        }
+        let visit = record::Visit::of(request.headers());
+        let ticket = self.work.ask(|reply| work::Message::Begin(visit, reply));
+        match ticket.await.ok()? {
+            work::Ticket::Refused => Some(server::answer(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "queue is full",
+            )),
+            work::Ticket::Run { duration, fails } => {
+                let done = self.run(&request, duration).await && !fails;
+                self.work.send(work::Message::End).await.ok()?;
+                Some(outcome(done, request.into_body()))
+            }
+        }
+    }
+
+    async fn run(&self, request: &Request<Bytes>, duration: std::time::Duration) -> bool {
+        let plan = &self.settings.calls;
+        if plan.order == calls::Order::Before && !self.call(request).await {
+            return false;
+        }
+        monoio::time::sleep(duration).await;
+        plan.order == calls::Order::Before || self.call(request).await
+    }
+
+    async fn call(&self, request: &Request<Bytes>) -> bool {
+        let plan = &self.settings.calls;
+        match self.settings.node_caller {
+            Some(node) => calls::make(plan, node, request.headers()).await,
+            None => plan.paths.is_empty(),
+        }
+    }
+
+    async fn health(&self) -> Option<Response<Bytes>> {
+        let state = self.work.ask(work::Message::Describe).await.ok()?;
+        let status = if state.behaviour.healthy {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        Some(server::answer(status, ""))
+    }
+
+    async fn load(&self) -> Option<Response<Bytes>> {
+        let state = self.work.ask(work::Message::Describe).await.ok()?;
+        let load = state.running + state.queued;
+        let claimed = state.behaviour.claimed_load.unwrap_or(load);
+        Some(server::answer(StatusCode::OK, claimed.to_string()))
+    }
+}
+
+/// The answer repeats the body of the request, so that callers can check that
+/// they got the answer to their own request.
+fn outcome(done: bool, body: Bytes) -> Response<Bytes> {
+    if done {
+        server::answer(StatusCode::OK, body)
+    } else {
+        server::answer(StatusCode::INTERNAL_SERVER_ERROR, "failed")
+    }
+}
+
+impl server::Handler for Target {
+    fn handle(
+        &self,
+        request: Request<Bytes>,
+    ) -> impl Future<Output = Option<Response<Bytes>>> + 'static {
+        self.clone().answer(request)
+    }
+}
--- /dev/null
+++ b/crates/load/src/standin/work.rs
@@ -0,0 +1,163 @@
+//! The service `work`: slots, queue, behaviour and records of a stand-in.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use futures::FutureExt;
+use masticarch_kernel::{mailbox, name, reply, stop};
+
+use super::{behaviour, record, settings};
+
+/// Name of the service.
+pub const NAME: name::Name = name::Name::new("work");
+
+/// What the service is asked to do.
+#[derive(Debug)]
+pub enum Message {
+    /// A request has arrived; the answer comes when it may run.
+    Begin(record::Visit, reply::Reply<Ticket>),
+    /// A request that ran has ended.
+    End,
+    /// Changes the behaviour.
+    Change(behaviour::Change, reply::Reply<behaviour::Behaviour>),
+    /// Reads behaviour and load.
+    Describe(reply::Reply<State>),
+    /// Reads the records.
+    Executions(reply::Reply<record::Executions>),
+}
+
+/// Whether and how a request runs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Ticket {
+    /// It runs and holds a slot until [`Message::End`].
+    Run {
+        /// Time that its work takes.
+        duration: Duration,
+        /// Whether it fails after its work.
+        fails: bool,
+    },
+    /// The queue is too long; it does not run.
+    Refused,
+}
+
+/// Behaviour and load at one moment.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct State {
+    /// The behaviour.
+    pub behaviour: behaviour::Behaviour,
+    /// Requests that hold a slot.
+    pub running: usize,
+    /// Requests that wait for one.
+    pub queued: usize,
+}
+
+/// A request that waits for a slot.
+struct Waiting {
+    visit: record::Visit,
+    reply: reply::Reply<Ticket>,
+}
+
+/// The state of the service.
+pub struct Work {
+    settings: settings::Settings,
+    behaviour: behaviour::Behaviour,
+    started: Instant,
+    random: fastrand::Rng,
+    running: usize,
+    queue: VecDeque<Waiting>,
+    executions: record::Executions,
+}
+
+impl Work {
+    /// Makes the state of a stand-in that starts at this moment.
+    #[must_use]
+    pub fn new(settings: settings::Settings, started: Instant) -> Self {
+        Self {
+            behaviour: settings.behaviour,
+            random: fastrand::Rng::with_seed(settings.seed),
+            settings,
+            started,
+            running: 0,
+            queue: VecDeque::new(),
+            executions: record::Executions::default(),
+        }
+    }
+
+    /// Handles messages until the service stops.
+    pub async fn run(mut self, mut mailbox: mailbox::Mailbox<Message>, stop: stop::Stop) {
+        let mut stopped = Box::pin(stop.wait().fuse());
+        loop {
+            futures::select! {
+                message = mailbox.receive().fuse() => match message {
+                    Some(message) => self.handle(message),
+                    None => return,
+                },
+                () = stopped => return,
+            }
+        }
+    }
+
+    fn handle(&mut self, message: Message) {
+        match message {
+            Message::Begin(visit, reply) => self.begin(visit, reply),
+            Message::End => self.end(),
+            Message::Change(change, reply) => {
+                self.behaviour = self.behaviour.with(change);
+                let _ = reply.send(self.behaviour);
+            }
+            Message::Describe(reply) => {
+                let _ = reply.send(self.state());
+            }
+            Message::Executions(reply) => {
+                let _ = reply.send(self.executions.clone());
+            }
+        }
+    }
+
+    fn begin(&mut self, visit: record::Visit, reply: reply::Reply<Ticket>) {
+        self.executions.keys_seen += u64::from(visit.shows_key);
+        if self.running < self.settings.slots {
+            self.start(Waiting { visit, reply });
+        } else if self.queue.len() < self.settings.queue {
+            self.queue.push_back(Waiting { visit, reply });
+        } else {
+            let _ = reply.send(Ticket::Refused);
+        }
+    }
+
+    fn end(&mut self) {
+        self.running -= 1;
+        while self.running < self.settings.slots {
+            let Some(waiting) = self.queue.pop_front() else {
+                return;
+            };
+            self.start(waiting);
+        }
+    }
+
+    fn start(&mut self, waiting: Waiting) {
+        let ticket = Ticket::Run {
+            duration: self.duration(),
+            fails: self.random.f64() < self.behaviour.failure_share,
+        };
+        if waiting.reply.send(ticket).is_ok() {
+            self.running += 1;
+            self.executions.count(waiting.visit);
+        }
+    }
+
+    fn duration(&mut self) -> Duration {
+        let cold = self.started.elapsed() < Duration::from_millis(self.settings.cold_ms);
+        let factor = if cold { self.settings.cold_factor } else { 1.0 };
+        let base = self.settings.service_ms.draw(&mut self.random);
+        base.mul_f64(factor * self.behaviour.slow_down)
+    }
+
+    fn state(&self) -> State {
+        State {
+            behaviour: self.behaviour,
+            running: self.running,
+            queued: self.queue.len(),
+        }
+    }
+}
