Add the daemon: settings, logs, signals, roles and the local mode

Cause: the roles could not be started as processes.

Ruled out: stopping at the first fault of a settings file (an operator would find them one start at a time), and reading settings straight into a type, which reports one fault only.

Change: masticarchd node, control and local; settings whose fields are taken one by one, so that all faults are reported with file, line and field; SIGTERM stops gracefully, a second signal at once.

Conclusion: the whole path runs from a caller to a target with every role in one process.

--- /dev/null
+++ b/crates/daemon/src/arguments.rs
@@ -0,0 +1,47 @@
+//! The command line of the daemon.
+
+use std::path::PathBuf;
+
+use clap::{Args, Parser, Subcommand};
+
+/// Overload control for service call graphs.
+#[derive(Debug, Parser)]
+#[command(name = "masticarchd", version, about)]
+pub struct Arguments {
+    /// What to run.
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+/// The roles of the daemon.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Run beside a target VM and forward its requests.
+    Node(Role),
+    /// Keep the fleet's state on a VM with a disk.
+    Control(Role),
+    /// Run every role in one process on loopback, with an example target.
+    Local(Local),
+}
+
+/// Arguments of one role.
+#[derive(Debug, Args)]
+pub struct Role {
+    /// Settings file in YAML.
+    #[arg(long, value_name = "FILE")]
+    pub settings: PathBuf,
+    /// Check the settings, report every fault and stop.
+    #[arg(long)]
+    pub check: bool,
+}
+
+/// Arguments of the process with every role.
+#[derive(Debug, Args)]
+pub struct Local {
+    /// Data directory; a new one in the directory for temporary files if absent.
+    #[arg(long, value_name = "DIR")]
+    pub data: Option<PathBuf>,
+    /// First of eight consecutive ports on 127.0.0.1.
+    #[arg(long, value_name = "PORT", default_value_t = 8700)]
+    pub port: u16,
+}
--- /dev/null
+++ b/crates/daemon/src/command/local.rs
@@ -0,0 +1,262 @@
+//! `masticarchd local`: every role in one process, to try masticarch out.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use std::{fs, io};
+
+use futures::future;
+use masticarch_client::{client, draw, settings as operator};
+use masticarch_control::{options as control_options, role as control};
+use masticarch_kernel::{runtime, stop};
+use masticarch_load::standin;
+use masticarch_model::{
+    access, configuration, edit, key, limit, member, place, priority, route, secret, team,
+};
+use masticarch_node::{options as node_options, role as node};
+use masticarch_wire::handshake;
+
+use crate::settings::node::FLEET;
+use crate::{arguments, error, log, signal};
+
+/// Name of the operator of a local run.
+const OPERATOR: &str = "admin";
+/// Service of the built-in example target.
+const SERVICE: &str = "hello";
+/// File with the operator's secret, below the data directory.
+const SECRET_FILE: &str = "admin.secret";
+/// File with the settings of the operators' tool, below the data directory.
+const TOOL_FILE: &str = "masticarch.yaml";
+/// Longest wait until the configuration is applied.
+const APPLY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest wait for the example target to stop.
+const TARGET_STOP_LIMIT: Duration = Duration::from_secs(1);
+/// Slots of the example target.
+const SLOTS: usize = 8;
+
+/// The addresses of a local run, on consecutive ports.
+struct Ports {
+    caller: SocketAddr,
+    peer: SocketAddr,
+    node_admin: SocketAddr,
+    member: SocketAddr,
+    operator: SocketAddr,
+    control_admin: SocketAddr,
+    target: SocketAddr,
+    target_control: SocketAddr,
+}
+
+impl Ports {
+    fn new(first: u16) -> Self {
+        let port = |offset: u16| SocketAddr::from(([127, 0, 0, 1], first + offset));
+        Self {
+            caller: port(0),
+            peer: port(1),
+            node_admin: port(2),
+            member: port(3),
+            operator: port(4),
+            control_admin: port(5),
+            target: port(6),
+            target_control: port(7),
+        }
+    }
+}
+
+/// Secrets drawn for one local run.
+struct Secrets {
+    fleet: String,
+    operator: String,
+    key: secret::Secret,
+}
+
+impl Secrets {
+    fn draw() -> Result<Self, error::Error> {
+        let text = || draw::bytes::<32>().map(|bytes| secret::encode(&bytes));
+        Ok(Self {
+            fleet: text()?,
+            operator: text()?,
+            key: draw::key()?,
+        })
+    }
+}
+
+/// Runs every role on loopback until a signal asks to stop.
+///
+/// # Errors
+/// See [`error::Error`].
+pub fn run(arguments: &arguments::Local) -> Result<(), error::Error> {
+    log::init(log::Log::default());
+    let signals = signal::stop()?;
+    let ports = Ports::new(arguments.port);
+    let secrets = Secrets::draw()?;
+    let data = data_directory(arguments)?;
+    write_tool_settings(&data, &ports, &secrets)?;
+    runtime::run(async {
+        let (sender, stop) = stop::Stop::new();
+        monoio::spawn(async move {
+            let _ = signals.await;
+            drop(sender);
+        });
+        let target = standin::Handle::start(target_settings(&ports))?;
+        let control = control::run(control_settings(&ports, &secrets, &data), stop.clone());
+        let node = node::run(node_settings(&ports, &secrets), stop.clone());
+        let example = apply_example(&ports, &secrets, &data);
+        let control = async { control.await.map_err(error::Error::from) };
+        let node = async { node.await.map_err(error::Error::from) };
+        future::try_join3(control, node, example).await?;
+        target.stop(TARGET_STOP_LIMIT).await;
+        Ok(())
+    })?
+}
+
+fn data_directory(arguments: &arguments::Local) -> Result<PathBuf, error::Error> {
+    let data = arguments.data.clone().unwrap_or_else(|| {
+        let name = format!("masticarch-local-{}", std::process::id());
+        std::env::temp_dir().join(name)
+    });
+    fs::create_dir_all(&data).map_err(|source| error::Error::File(data.clone(), source))?;
+    Ok(data)
+}
+
+/// Writes the files that the operators' tool needs.
+fn write_tool_settings(data: &Path, ports: &Ports, secrets: &Secrets) -> Result<(), error::Error> {
+    let tool = format!(
+        "control: [{}]\noperator: {OPERATOR}\nsecret_file: {SECRET_FILE}\n",
+        ports.operator
+    );
+    write_private(&data.join(SECRET_FILE), &secrets.operator)?;
+    write_private(&data.join(TOOL_FILE), &tool)
+}
+
+fn write_private(path: &Path, text: &str) -> Result<(), error::Error> {
+    use std::io::Write;
+    use std::os::unix::fs::OpenOptionsExt;
+    let write = || -> io::Result<()> {
+        let mut file = fs::OpenOptions::new()
+            .write(true)
+            .create(true)
+            .truncate(true)
+            .mode(0o600)
+            .open(path)?;
+        file.write_all(text.as_bytes())
+    };
+    write().map_err(|source| error::Error::File(path.into(), source))
+}
+
+fn target_settings(ports: &Ports) -> standin::Settings {
+    standin::Settings::builder()
+        .service(SERVICE)
+        .address(ports.target)
+        .control(ports.target_control)
+        .node_admin(ports.node_admin)
+        .slots(SLOTS)
+        .build()
+}
+
+fn control_settings(ports: &Ports, secrets: &Secrets, data: &Path) -> control_options::Options {
+    let id = member::Id(1);
+    let first = member::Member {
+        id,
+        address: ports.member,
+        voter: true,
+    };
+    control_options::Options::builder()
+        .id(id)
+        .member(ports.member)
+        .operator(ports.operator)
+        .admin(ports.control_admin)
+        .data(data.join("control"))
+        .members(vec![first])
+        .new(true)
+        .credential(handshake::Credential::new(FLEET.into(), &secrets.fleet))
+        .operators(vec![handshake::Credential::new(
+            OPERATOR.into(),
+            &secrets.operator,
+        )])
+        .build()
+}
+
+fn node_settings(ports: &Ports, secrets: &Secrets) -> node_options::Options {
+    node_options::Options::builder()
+        .name("local".into())
+        .place(place::Place {
+            region: "local".into(),
+            domain: "local".into(),
+        })
+        .caller(ports.caller)
+        .peer(ports.peer)
+        .admin(ports.node_admin)
+        .control(vec![ports.member])
+        .credential(handshake::Credential::new(FLEET.into(), &secrets.fleet))
+        .build()
+}
+
+/// A route with a key and a route open to all, to the example target.
+fn example_configuration(key: &secret::Secret) -> configuration::Configuration {
+    let route = |name: &str, path: &str, access| route::Route {
+        name: name.into(),
+        path: path.into(),
+        service: SERVICE.into(),
+        priority: "normal".into(),
+        access,
+        idempotent: true,
+        timeout: Duration::from_secs(2),
+        retries: 3,
+    };
+    configuration::Configuration {
+        priorities: vec![priority::Priority {
+            name: "normal".into(),
+            below: None,
+        }],
+        limits: vec![limit::Limit {
+            name: "small".into(),
+            rate_per_second: 50.0,
+            burst: 100,
+        }],
+        teams: vec![team::Team {
+            name: "example".into(),
+            limit: "small".into(),
+            weight: 1,
+        }],
+        keys: vec![key::Key {
+            name: "example-1".into(),
+            team: "example".into(),
+            id: key.id,
+            hash: key.hash(),
+            withdrawn: false,
+        }],
+        routes: vec![
+            route(
+                "hello",
+                "/hello",
+                access::Access::Teams(vec!["example".into()]),
+            ),
+            route("open", "/open", access::Access::Open),
+        ],
+    }
+}
+
+/// Applies the example configuration and prints how to use it.
+async fn apply_example(ports: &Ports, secrets: &Secrets, data: &Path) -> Result<(), error::Error> {
+    let mut client = client::Client::new(operator::Settings {
+        control: vec![ports.operator],
+        credential: handshake::Credential::new(OPERATOR.into(), &secrets.operator),
+        timeout: APPLY_TIMEOUT,
+    });
+    let configuration = example_configuration(&secrets.key);
+    let (present, _) = client.configuration().await?;
+    let change = client.change(present, vec![edit::Edit::Replace(configuration)])?;
+    client.apply(change).await?;
+    println!("masticarch runs in this process. Try a request:\n");
+    println!(
+        "  curl -i -H 'masticarch-key: {}' http://{}/hello\n",
+        secrets.key.reveal(),
+        ports.caller
+    );
+    println!("and the operators' tool:\n");
+    println!(
+        "  cargo run --release --bin masticarch -- --settings {} status\n",
+        data.join(TOOL_FILE).display()
+    );
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/log.rs
@@ -0,0 +1,63 @@
+//! Set-up of logs.
+
+use serde::Deserialize;
+use tracing_subscriber::EnvFilter;
+
+/// Form of log lines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Format {
+    /// One line of text.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Least severe lines that are written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Level {
+    /// Faults that need an operator.
+    Error,
+    /// Faults that the system handles.
+    Warn,
+    /// Changes of state.
+    #[default]
+    Info,
+    /// Details for developers.
+    Debug,
+}
+
+impl Level {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Error => "error",
+            Self::Warn => "warn",
+            Self::Info => "info",
+            Self::Debug => "debug",
+        }
+    }
+}
+
+/// Settings of logs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Log {
+    /// Form of log lines.
+    pub format: Format,
+    /// Least severe lines that are written.
+    pub level: Level,
+}
+
+/// Writes logs to standard error from now on. A second call has no effect.
+pub fn init(log: Log) {
+    let filter = EnvFilter::new(log.level.as_str());
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr);
+    let _ = match log.format {
+        Format::Text => builder.try_init(),
+        Format::Json => builder.json().try_init(),
+    };
+}
--- /dev/null
+++ b/crates/daemon/src/settings/document.rs
@@ -0,0 +1,116 @@
+//! A YAML mapping whose fields are read one by one, so that every fault is
+//! reported at once.
+
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+
+use serde::de::DeserializeOwned;
+use serde_saphyr::Spanned;
+
+use crate::error;
+use crate::settings::{fault, file};
+
+/// A field as it stands in the file.
+type Field = Spanned<serde_json::Value>;
+
+/// A settings file in the course of being read.
+#[derive(Debug)]
+pub struct Document {
+    path: PathBuf,
+    fields: BTreeMap<String, Field>,
+    faults: Vec<fault::Fault>,
+}
+
+impl Document {
+    /// Reads a file as a mapping of fields.
+    ///
+    /// # Errors
+    /// [`error::Error::File`] when the file cannot be read,
+    /// [`error::Error::Settings`] when it is not a YAML mapping.
+    pub fn read(path: &Path) -> Result<Self, error::Error> {
+        let text = file::read(path)?;
+        let fields = serde_saphyr::from_str(&text)
+            .map_err(|failure| error::Error::Settings(format!("{}: {failure}", path.display())))?;
+        Ok(Self {
+            path: path.into(),
+            fields,
+            faults: Vec::new(),
+        })
+    }
+
+    /// The file that is read.
+    #[must_use]
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+
+    /// Takes a field that must be present. `form` says what is allowed.
+    pub fn required<T: DeserializeOwned>(&mut self, field: &str, form: &str) -> Option<T> {
+        if self.fields.contains_key(field) {
+            return self.optional(field, form);
+        }
+        self.add(None, field, format!("is missing; it takes {form}"));
+        None
+    }
+
+    /// Takes a field that may be absent. `form` says what is allowed.
+    pub fn optional<T: DeserializeOwned>(&mut self, field: &str, form: &str) -> Option<T> {
+        let Spanned {
+            value, referenced, ..
+        } = self.fields.remove(field)?;
+        let shown = value.to_string();
+        match serde_json::from_value(value) {
+            Ok(value) => Some(value),
+            Err(failure) => {
+                let detail = format!("{shown} is not {form} ({failure})");
+                self.add(Some(referenced.line()), field, detail);
+                None
+            }
+        }
+    }
+
+    /// Takes a number that may be absent and must lie in a range.
+    pub fn number(&mut self, field: &str, unit: &str, minimum: u64, maximum: u64) -> Option<u64> {
+        let line = self.fields.get(field).map(|value| value.referenced.line());
+        let form = format!("a number of {unit} from {minimum} to {maximum}");
+        let value = self.optional(field, &form)?;
+        if (minimum..=maximum).contains(&value) {
+            return Some(value);
+        }
+        self.add(line, field, format!("{value} is not {form}"));
+        None
+    }
+
+    /// Adds a fault found by a check across fields.
+    pub fn fault(&mut self, field: &str, detail: String) {
+        self.add(None, field, detail);
+    }
+
+    fn add(&mut self, line: Option<u64>, field: &str, detail: String) {
+        self.faults.push(fault::Fault {
+            file: self.path.clone(),
+            line,
+            field: field.into(),
+            detail,
+        });
+    }
+
+    /// Ends the reading: what was not taken is unknown, and all faults are
+    /// returned together.
+    ///
+    /// # Errors
+    /// [`error::Error::Settings`] with every fault, one a line.
+    pub fn finish<T>(mut self, value: Option<T>) -> Result<T, error::Error> {
+        let unknown = std::mem::take(&mut self.fields);
+        for (field, value) in unknown {
+            let line = value.referenced.line();
+            self.add(Some(line), &field, "no such field".into());
+        }
+        self.faults.sort_by_key(|fault| fault.line);
+        let lines: Vec<_> = self.faults.iter().map(ToString::to_string).collect();
+        match value {
+            Some(value) if lines.is_empty() => Ok(value),
+            _ => Err(error::Error::Settings(lines.join("\n"))),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/settings/node.rs
@@ -0,0 +1,160 @@
+//! Settings of a node.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use masticarch_model::{name, place};
+use masticarch_node::options;
+
+use crate::settings::{document, file};
+use crate::{error, log};
+
+/// Longest time in the admission queue that settings may ask for, in
+/// milliseconds.
+const MAX_QUEUE_LIMIT_MS: u64 = 10_000;
+/// Longest wait for tokens of a team's rate, in milliseconds.
+const MAX_RATE_WAIT_MS: u64 = 5_000;
+/// Longest drain, in milliseconds.
+const MAX_DRAIN_LIMIT_MS: u64 = 3_600_000;
+/// Largest body that settings may allow, in bytes.
+const MAX_BODY_BYTES: u64 = 64 << 20;
+/// Name under which nodes and control processes prove the fleet's secret.
+pub const FLEET: &str = "fleet";
+
+/// Settings of a node.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// What the node is started with.
+    pub options: options::Options,
+    /// Logs.
+    pub log: log::Log,
+}
+
+/// Optional settings with defaults in [`options::Options`].
+struct Tuning {
+    max_request_bytes: Option<u64>,
+    max_answer_bytes: Option<u64>,
+    buffer_bytes: Option<u64>,
+    queue_limit_ms: Option<u64>,
+    rate_wait_ms: Option<u64>,
+    drain_limit_ms: Option<u64>,
+    decisions: Option<bool>,
+}
+
+impl Tuning {
+    fn read(document: &mut document::Document) -> Self {
+        Self {
+            max_request_bytes: document.number("max_request_bytes", "bytes", 1, MAX_BODY_BYTES),
+            max_answer_bytes: document.number("max_answer_bytes", "bytes", 1, MAX_BODY_BYTES),
+            buffer_bytes: document.number("buffer_bytes", "bytes", 1, 4 * MAX_BODY_BYTES),
+            queue_limit_ms: document.number(
+                "queue_limit_ms",
+                "milliseconds",
+                1,
+                MAX_QUEUE_LIMIT_MS,
+            ),
+            rate_wait_ms: document.number("rate_wait_ms", "milliseconds", 0, MAX_RATE_WAIT_MS),
+            drain_limit_ms: document.number(
+                "drain_limit_ms",
+                "milliseconds",
+                0,
+                MAX_DRAIN_LIMIT_MS,
+            ),
+            decisions: document.optional("decisions", "true or false"),
+        }
+    }
+}
+
+fn bytes(value: Option<u64>) -> Option<usize> {
+    value.and_then(|value| usize::try_from(value).ok())
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    /// [`error::Error::File`], or [`error::Error::Settings`] with every fault.
+    pub fn read(path: &Path) -> Result<Self, error::Error> {
+        let mut document = document::Document::read(path)?;
+        let settings = Self::take(&mut document);
+        document.finish(settings)
+    }
+
+    fn take(document: &mut document::Document) -> Option<Self> {
+        let address = "an address as IP:PORT";
+        let name = valid_name(document, "name");
+        let region = valid_name(document, "region");
+        let domain = valid_name(document, "domain");
+        let caller: Option<SocketAddr> = document.required("caller", address);
+        let peer: Option<SocketAddr> = document.required("peer", address);
+        let advertised = document.optional("advertised", address);
+        let admin: Option<SocketAddr> = document.required("admin", address);
+        let control = control_addresses(document);
+        let credential = fleet_credential(document);
+        let tuning = Tuning::read(document);
+        let log = document.optional("log", "format (text, json) and level");
+        let options = options::Options::builder()
+            .name(name?)
+            .place(place::Place {
+                region: region?,
+                domain: domain?,
+            })
+            .caller(caller?)
+            .peer(peer?)
+            .maybe_advertised(advertised)
+            .admin(admin?)
+            .control(control?)
+            .credential(credential?)
+            .maybe_max_request_bytes(bytes(tuning.max_request_bytes))
+            .maybe_max_answer_bytes(bytes(tuning.max_answer_bytes))
+            .maybe_buffer_bytes(bytes(tuning.buffer_bytes))
+            .maybe_queue_limit(tuning.queue_limit_ms.map(Duration::from_millis))
+            .maybe_rate_wait(tuning.rate_wait_ms.map(Duration::from_millis))
+            .maybe_drain_limit(tuning.drain_limit_ms.map(Duration::from_millis))
+            .maybe_decisions(tuning.decisions)
+            .build();
+        Some(Self {
+            options,
+            log: log.unwrap_or_default(),
+        })
+    }
+}
+
+fn control_addresses(document: &mut document::Document) -> Option<Vec<SocketAddr>> {
+    let addresses: Vec<SocketAddr> = document.required(
+        "control",
+        "a list of member ports of control processes, as IP:PORT",
+    )?;
+    if addresses.is_empty() {
+        document.fault("control", "takes at least one address".into());
+        return None;
+    }
+    Some(addresses)
+}
+
+/// Takes a name that is 1 to 63 characters of `a-z`, `0-9` and `-`.
+pub(crate) fn valid_name(document: &mut document::Document, field: &str) -> Option<name::Name> {
+    let form = "1 to 63 characters of a-z, 0-9 and -";
+    let name: name::Name = document.required(field, form)?;
+    if name.is_valid() {
+        return Some(name);
+    }
+    document.fault(field, format!("{name} is not {form}"));
+    None
+}
+
+/// Takes the file of the fleet's secret and derives the credential from it.
+pub(crate) fn fleet_credential(
+    document: &mut document::Document,
+) -> Option<masticarch_wire::handshake::Credential> {
+    let path: PathBuf = document.required("secret_file", "the path of a file with a secret")?;
+    let path = file::resolve(document.path(), &path);
+    match file::credential(FLEET.into(), &path) {
+        Ok(credential) => Some(credential),
+        Err(detail) => {
+            document.fault("secret_file", detail);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/signal.rs
@@ -0,0 +1,30 @@
+//! Signals that ask the process to stop.
+
+use std::io;
+use std::thread;
+
+use futures::channel::oneshot;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+/// Resolves at the first SIGTERM or SIGINT. Later ones end the process at once,
+/// so that an operator can cut a drain short.
+///
+/// # Errors
+/// The error of the operating system when handlers cannot be installed.
+pub fn stop() -> io::Result<oneshot::Receiver<()>> {
+    let (sender, receiver) = oneshot::channel();
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    thread::Builder::new()
+        .name("signals".into())
+        .spawn(move || {
+            let mut sender = Some(sender);
+            for signal in &mut signals {
+                match sender.take() {
+                    Some(sender) => drop(sender.send(())),
+                    None => drop(signal_hook::low_level::emulate_default_handler(signal)),
+                }
+            }
+        })?;
+    Ok(receiver)
+}
