State when a lowered limit is in force across a change of owner

Ruled out: carrying earlier limits over terms, which would shrink every share after a restart because the log's earlier limits are replayed then. Change: the owner's documentation states the bound, one lease from the change of owner; the simulation allows exactly that.

--- a/crates/model/src/catalog/change_log.rs
+++ b/crates/model/src/catalog/change_log.rs
@@ -19,7 +19,7 @@
     pub id: u128,
     /// Name of the operator credential.
     pub operator: name::Name,
-    /// One line for each edit, up to [`MAX_LINES`].
+    /// One line for each edit, up to 100.
     pub summary: Vec<Box<str>>,
     /// The first result.
     pub outcome: outcome::Outcome,
--- a/crates/policy/src/share/owner.rs
+++ b/crates/policy/src/share/owner.rs
@@ -25,6 +25,11 @@
 /// Grants shares of team limits such that the shares that holders may be using
 /// never exceed a limit: a share counts until its holder reports a smaller one
 /// or its lease ends. A new owner is made for each term of the leader.
+///
+/// Shares cannot be called back, so that a lowered limit is in force after
+/// [`lease::COUNTED`]. When the owner changes within that time, it is counted
+/// from the change: the new owner hears of shares granted under either limit
+/// and does not know of those that are not reported yet.
 #[derive(Clone, Debug)]
 pub struct Owner {
     /// When every share of earlier owners has been reported or has ended.
--- a/crates/policy/tests/share_fleet/mod.rs
+++ b/crates/policy/tests/share_fleet/mod.rs
@@ -222,6 +222,11 @@
     pub fn replace_owner(&mut self) {
         self.owner = owner::Owner::new(self.now);
         self.sent.clear();
+        // The new owner does not know which of the shares that it hears of were
+        // granted before the limit was lowered, until all leases are over.
+        for (until, _) in &mut self.earlier {
+            *until = self.now + lease::COUNTED + STEP;
+        }
         self.set_limit(self.limit);
     }
 
