Import the modules that the control role names

Cause: some paths were written in full, and an announcement that lost a race with the removal of its node was answered as if another process led. Change: imports; the node's next poll joins again.

--- a/crates/control/src/member/sync.rs
+++ b/crates/control/src/member/sync.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use masticarch_model::{code, command, outcome, version};
+use masticarch_model::{code, command, name, outcome, version};
 use masticarch_wire::message::sync;
 
 use crate::registry::{answer, presence};
@@ -29,7 +29,9 @@
     let held = request.held;
     let limit = Duration::from_millis(u64::from(request.hold_ms)).min(MAX_HOLD);
     match renew(services, request).await {
-        Ok(()) => {}
+        // A node that was removed while it announced joins again with its next
+        // poll.
+        Ok(()) | Err(code::Code::NoSuchObject) => {}
         Err(refused @ (code::Code::VersionConflict | code::Code::NoQuorum)) => return Err(refused),
         Err(_) => return Ok(sync::Reply::NotLeader(services.log.leader().await)),
     }
@@ -76,10 +78,7 @@
 }
 
 /// Whether announcements are held back; the node's next poll tries again.
-async fn is_damped(
-    services: &services::Services,
-    name: &masticarch_model::name::Name,
-) -> Result<bool, code::Code> {
+async fn is_damped(services: &services::Services, name: &name::Name) -> Result<bool, code::Code> {
     let asked = services
         .membership
         .ask(|reply| membership::message::Message::Damping(name.clone(), reply));
--- a/crates/control/src/registry/service.rs
+++ b/crates/control/src/registry/service.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use masticarch_kernel::{address, mailbox, stop};
-use masticarch_model::{catalog, claim, command, node, target, version};
+use masticarch_model::{catalog, claim, command, node, target, team, version};
 use masticarch_policy::share::lease;
 use masticarch_wire::message as wire;
 
@@ -230,7 +230,7 @@
 /// The limits of all teams.
 fn limits(catalog: &catalog::Catalog) -> Vec<lease::Limit> {
     let set = &catalog.view().configuration;
-    let limit = |team: &masticarch_model::team::Team| {
+    let limit = |team: &team::Team| {
         let limit = set.limits.iter().find(|limit| limit.name == team.limit)?;
         Some(lease::Limit {
             team: team.name.clone(),
--- a/crates/control/tests/ports.rs
+++ b/crates/control/tests/ports.rs
@@ -4,7 +4,10 @@
 
 use std::time::{Duration, Instant};
 
-use masticarch_model::{claim, code, edit, incarnation, kind, name, settlement, target, version};
+use masticarch_model::{
+    attempt, claim, code, edit, incarnation, kind, name, node as model_node, settlement, target,
+    version, view,
+};
 use masticarch_wire::message::{claim as claims, lease, operator, sync};
 
 use fixture::{Control, OPERATOR, change, node, run, set, target_of};
@@ -12,7 +15,7 @@
 /// A hold time longer than any test should wait.
 const HOLD_MS: u32 = 1_000;
 
-fn poll(node: &masticarch_model::node::Node, held: u64) -> sync::Request {
+fn poll(node: &model_node::Node, held: u64) -> sync::Request {
     sync::Request {
         node: node.clone(),
         targets: Vec::new(),
@@ -30,7 +33,7 @@
             key: "bulletin-1".into(),
         },
         digest: [digest; 32],
-        attempt: masticarch_model::attempt::Attempt { node, sequence },
+        attempt: attempt::Attempt { node, sequence },
     }
 }
 
@@ -184,7 +187,7 @@
         member.sync(&announcing).await;
         let started = Instant::now();
 
-        let names = |view: &masticarch_model::view::View| -> Vec<name::Name> {
+        let names = |view: &view::View| -> Vec<name::Name> {
             let nodes = view.nodes.iter();
             nodes.map(|entry| entry.node.name.clone()).collect()
         };
