--- a/crates/store/tests/crash.rs
+++ b/crates/store/tests/crash.rs
@@ -32,7 +32,9 @@
         append(10..=20, 2),
         truncate(15, request::Request::default()),
         snapshot(12, request::Request::default()),
-        // A snapshot received from a leader replaces the whole log.
+        append(15..=34, 2),
+        // A snapshot received from a leader replaces the whole log, also what
+        // an earlier leader left after its index.
         truncate(31, snapshot(30, append(31..=32, 3))),
         append(33..=40, 3),
         snapshot(40, request::Request::default()),
