Settle claims whose verdict nobody received, and close given-up connections

Cause: a claim stayed running when its caller went away between the commit and the verdict; a call to a silent control process left its connection open until the system noticed. Change: the verdict carries a guard that settles the claim as not run when it is dropped; a connection to control closes when it is given up. CONNECT and paths with dot segments are refused, because a target may resolve such a path to another route's.

--- a/crates/node/src/caller/claim.rs
+++ b/crates/node/src/caller/claim.rs
@@ -1,26 +1,16 @@
-//! Claims a non-idempotent request and settles the claim truthfully.
+//! Claims a non-idempotent request, or answers a resend of one.
 
-use masticarch_kernel::{address, task};
-use masticarch_model::{answer as kept, attempt, claim, code, ran, settlement};
-use masticarch_wire::http::{answer, fields, request};
+use masticarch_model::{answer as kept, claim, code};
+use masticarch_wire::http::request;
 
-use crate::claims::message;
+use crate::claims::{hold, message};
 use crate::gate::admission;
-use crate::{name, refusal, services};
-
-/// A claim that this node holds. When its task is dropped the claim is settled
-/// as not run or as unknown, whichever is true.
-pub struct Hold {
-    claims: address::Address<message::Message>,
-    subject: Option<claim::Subject>,
-    attempt: attempt::Attempt,
-    sent: bool,
-}
+use crate::{refusal, services};
 
 /// What a claim leads to.
 pub enum Claimed {
     /// This request may run.
-    Run(Hold),
+    Run(hold::Hold),
     /// The first request with this key has this answer.
     Kept(kept::Answer),
 }
@@ -43,12 +33,7 @@
     let digest = digest(request);
     let ask = |slot| message::Message::Claim(subject.clone(), digest, admission.deadline, slot);
     match services.claims.ask(ask).await {
-        Ok(message::Verdict::Claimed(attempt)) => Ok(Claimed::Run(Hold {
-            claims: services.claims.clone(),
-            subject: Some(subject),
-            attempt,
-            sent: false,
-        })),
+        Ok(message::Verdict::Claimed(hold)) => Ok(Claimed::Run(hold)),
         Ok(message::Verdict::Held(held)) => resend(held, &digest),
         Ok(message::Verdict::Unavailable) | Err(_) => Err(refusal::Refusal::new(
             code::Code::ClaimUnavailable,
@@ -57,47 +42,6 @@
     }
 }
 
-impl Hold {
-    /// Notes that the request may reach a target from now on.
-    pub fn sending(&mut self) {
-        self.sent = true;
-    }
-
-    /// Settles the claim by the result of the last attempt.
-    pub fn settle(mut self, result: &Result<answer::Answer, refusal::Refusal>) {
-        let settlement = match result {
-            Ok(answer) => settlement::Settlement::Done(keep(answer)),
-            Err(refusal) => match refusal.ran {
-                ran::Ran::No => settlement::Settlement::NotRun,
-                ran::Ran::Yes => settlement::Settlement::Done(None),
-                ran::Ran::Unknown => settlement::Settlement::Unknown,
-            },
-        };
-        self.tell(settlement);
-    }
-
-    fn tell(&mut self, settlement: settlement::Settlement) {
-        let Some(subject) = self.subject.take() else {
-            return;
-        };
-        let message = message::Message::Settle(subject, self.attempt, settlement);
-        let claims = self.claims.clone();
-        drop(task::spawn(name::CALLER, async move {
-            let _ = claims.send(message).await;
-        }));
-    }
-}
-
-impl Drop for Hold {
-    fn drop(&mut self) {
-        self.tell(if self.sent {
-            settlement::Settlement::Unknown
-        } else {
-            settlement::Settlement::NotRun
-        });
-    }
-}
-
 fn resend(held: claim::Claim, digest: &[u8; 32]) -> Result<Claimed, refusal::Refusal> {
     if held.digest != *digest {
         return Err(refusal::Refusal::new(
@@ -130,11 +74,3 @@
     hasher.update(&request.body);
     *hasher.finalize().as_bytes()
 }
-
-fn keep(answer: &answer::Answer) -> Option<kept::Answer> {
-    (answer.body.len() <= kept::MAX_KEPT_BYTES).then(|| kept::Answer {
-        status: answer.status.as_u16(),
-        content_type: fields::text(&answer.headers, "content-type").map(Into::into),
-        body: answer.body.to_vec().into(),
-    })
-}
--- a/crates/node/src/caller/handler.rs
+++ b/crates/node/src/caller/handler.rs
@@ -8,6 +8,7 @@
 use masticarch_wire::http::{answer, fault, fields, request};
 
 use super::{attempt, claim, encode, flight, intake, ledger};
+use crate::claims::hold;
 use crate::gate::{admission, choice, message};
 use crate::target::job;
 use crate::{origin, race, refusal, services, session};
@@ -129,7 +130,7 @@
         &self,
         mut flight: flight::Flight,
         admission: &admission::Admission,
-        mut hold: Option<claim::Hold>,
+        mut hold: Option<hold::Hold>,
         request: &request::Request,
     ) -> Result<answer::Answer, refusal::Refusal> {
         let services = &self.services;
@@ -194,7 +195,7 @@
     }
 }
 
-fn settle(hold: Option<claim::Hold>, outcome: &job::Outcome) {
+fn settle(hold: Option<hold::Hold>, outcome: &job::Outcome) {
     if let Some(hold) = hold {
         hold.settle(&outcome.result);
     }
--- a/crates/node/src/caller/intake.rs
+++ b/crates/node/src/caller/intake.rs
@@ -32,6 +32,12 @@
     services: &services::Services,
     request: &mut request::Request,
 ) -> Result<Intake, refusal::Refusal> {
+    if has_dot_segment(request.uri.path()) {
+        return Err(refusal::Refusal::new(
+            code::Code::BadRequest,
+            "a path may not contain dot segments",
+        ));
+    }
     let origin = origin(services, &request.headers).await?;
     let headers = &request.headers;
     let remaining: Option<u64> = fields::number(headers, names::DEADLINE_MS);
@@ -66,6 +72,15 @@
     }
 }
 
+/// Whether a target may resolve the path to another one, which another route
+/// with other rights leads to.
+fn has_dot_segment(path: &str) -> bool {
+    path.split('/').any(|segment| {
+        let plain = segment.to_ascii_lowercase().replace("%2e", ".");
+        plain == "." || plain == ".."
+    })
+}
+
 fn key(headers: &HeaderMap) -> Option<&str> {
     fields::text(headers, names::KEY).or_else(|| bearer(headers))
 }
--- a/crates/node/src/claims/message.rs
+++ b/crates/node/src/claims/message.rs
@@ -5,13 +5,14 @@
 use masticarch_kernel::reply;
 use masticarch_model::{attempt, claim, settlement};
 
+use super::hold;
 use crate::leader;
 
 /// What became of a claim.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum Verdict {
     /// This attempt holds the claim and may run the request.
-    Claimed(attempt::Attempt),
+    Claimed(hold::Hold),
     /// Another attempt holds or held the claim.
     Held(claim::Claim),
     /// The claim could not be committed in time; the request must not run. The
@@ -20,6 +21,7 @@
 }
 
 /// Messages to the claims service.
+#[derive(Debug)]
 pub enum Message {
     /// Claims a request, with its digest, until the deadline.
     Claim(claim::Subject, [u8; 32], Instant, reply::Reply<Verdict>),
--- a/crates/node/src/claims/service.rs
+++ b/crates/node/src/claims/service.rs
@@ -5,10 +5,10 @@
 
 use futures::future::{self, Either};
 use masticarch_kernel::{address, mailbox, reply, stop, task};
-use masticarch_model::{attempt, incarnation};
-use masticarch_wire::message::claim;
+use masticarch_model::{attempt, claim, incarnation};
+use masticarch_wire::message::claim as wire;
 
-use super::{message, worker};
+use super::{hold, message, worker};
 use crate::{leader, name, options};
 
 /// Longest wait for unfinished settlements at a shutdown.
@@ -57,16 +57,10 @@
     fn handle(&mut self, message: message::Message) {
         match message {
             message::Message::Claim(subject, digest, deadline, reply) => {
-                let attempt = self.attempt();
-                let request = claim::Request::Claim {
-                    subject,
-                    digest,
-                    attempt,
-                };
-                self.claim(request, attempt, deadline, reply);
+                self.claim(subject, digest, deadline, reply);
             }
             message::Message::Settle(subject, attempt, settlement) => {
-                self.settle(claim::Request::Settle {
+                self.settle(wire::Request::Settle {
                     subject,
                     attempt,
                     settlement,
@@ -96,27 +90,39 @@
 
     fn claim(
         &mut self,
-        request: claim::Request,
-        attempt: attempt::Attempt,
+        subject: claim::Subject,
+        digest: [u8; 32],
         deadline: Instant,
         reply: reply::Reply<message::Verdict>,
     ) {
+        let attempt = self.attempt();
         let mut leader = self.leader();
         let own = self.own.clone();
         drop(task::spawn(name::CLAIMS, async move {
-            let verdict = worker::claim(&mut leader, &request, attempt, deadline).await;
-            let in_doubt = verdict == message::Verdict::Unavailable;
-            let claimed = matches!(verdict, message::Verdict::Claimed(_));
-            // The asker of a verdict that nobody receives has not run anything.
-            let unheard = reply.send(verdict).is_err() && claimed;
-            if let Some(withdrawal) = worker::withdrawal(&request).filter(|_| in_doubt || unheard) {
-                worker::settle(&mut leader, &withdrawal).await;
-            }
+            let request = wire::Request::Claim {
+                subject: subject.clone(),
+                digest,
+                attempt,
+            };
+            let committed = worker::claim(&mut leader, &request, deadline).await;
+            let verdict = match committed {
+                Some(wire::Reply::Held(claim)) => message::Verdict::Held(claim),
+                reply => {
+                    // Settles the claim as not run unless the asker takes it over.
+                    let hold = hold::Hold::new(own.clone(), subject, attempt);
+                    if reply == Some(wire::Reply::Claimed) {
+                        message::Verdict::Claimed(hold)
+                    } else {
+                        message::Verdict::Unavailable
+                    }
+                }
+            };
+            let _ = reply.send(verdict);
             let _ = own.send(message::Message::Idle(Box::new(leader))).await;
         }));
     }
 
-    fn settle(&mut self, request: claim::Request) {
+    fn settle(&mut self, request: wire::Request) {
         let mut leader = self.leader();
         let own = self.own.clone();
         drop(task::spawn(name::CLAIMS, async move {
--- a/crates/node/src/claims/worker.rs
+++ b/crates/node/src/claims/worker.rs
@@ -2,10 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use masticarch_model::{attempt, settlement};
 use masticarch_wire::message::claim;
 
-use super::message;
 use crate::leader;
 
 /// Pause before a call is repeated.
@@ -15,19 +13,15 @@
 const SETTLE_LIMIT: Duration = Duration::from_mins(2);
 
 /// Claims until the deadline; the same attempt is sent again after a failure.
+/// `None` when it is not known whether the claim was committed.
 pub async fn claim(
     leader: &mut leader::Leader,
     request: &claim::Request,
-    attempt: attempt::Attempt,
     deadline: Instant,
-) -> message::Verdict {
+) -> Option<claim::Reply> {
     let deadline = monoio::time::Instant::from_std(deadline);
     let committed = monoio::time::timeout_at(deadline, repeat(leader, request));
-    match committed.await {
-        Ok(claim::Reply::Claimed) => message::Verdict::Claimed(attempt),
-        Ok(claim::Reply::Held(held)) => message::Verdict::Held(held),
-        _ => message::Verdict::Unavailable,
-    }
+    committed.await.ok()
 }
 
 /// Settles until committed.
@@ -38,21 +32,6 @@
     }
 }
 
-/// The request that takes back a claim whose fate is not known.
-#[must_use]
-pub fn withdrawal(request: &claim::Request) -> Option<claim::Request> {
-    match request {
-        claim::Request::Claim {
-            subject, attempt, ..
-        } => Some(claim::Request::Settle {
-            subject: subject.clone(),
-            attempt: *attempt,
-            settlement: settlement::Settlement::NotRun,
-        }),
-        claim::Request::Settle { .. } => None,
-    }
-}
-
 async fn repeat(leader: &mut leader::Leader, request: &claim::Request) -> claim::Reply {
     loop {
         match leader.ask(request, Duration::ZERO).await {
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -1,11 +1,12 @@
 //! Calls to the control leader, whichever process it is.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use capnp::capability;
 use masticarch_wire::masticarch_capnp::member;
-use masticarch_wire::{error, handshake, message, rpc};
+use masticarch_wire::{error, handshake, link, message, rpc};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -36,7 +37,17 @@
     position: usize,
     hint: Option<SocketAddr>,
     credential: handshake::Credential,
-    client: Option<member::Client>,
+    link: Option<link::Link<member::Client>>,
+}
+
+impl fmt::Debug for Leader {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("Leader")
+            .field("addresses", &self.addresses)
+            .field("hint", &self.hint)
+            .finish_non_exhaustive()
+    }
 }
 
 impl Leader {
@@ -48,7 +59,7 @@
             position: 0,
             hint: None,
             credential,
-            client: None,
+            link: None,
         }
     }
 
@@ -85,8 +96,8 @@
     }
 
     async fn call<Q: Question>(&mut self, payload: &[u8]) -> Result<Q::Reply, error::Error> {
-        let client = match self.client.clone() {
-            Some(client) => client,
+        let client = match &self.link {
+            Some(link) => link.client.clone(),
             None => self.connect().await?,
         };
         message::decode(&Q::send(&client, payload).await?)
@@ -98,14 +109,13 @@
             .or_else(|| self.addresses.get(self.position).copied())
             .ok_or(error::Error::Timeout)?;
         let role = handshake::Role::Member;
-        let client: member::Client = rpc::connect(address, role, &self.credential).await?;
-        self.client = Some(client.clone());
-        Ok(client)
+        let link = rpc::open(address, role, &self.credential).await?;
+        Ok(self.link.insert(link).client.clone())
     }
 
     /// Gives up the connection; without a hint the next address is tried.
     fn leave(&mut self, hint: Option<SocketAddr>) {
-        self.client = None;
+        self.link = None;
         self.hint = hint;
         if hint.is_none() && !self.addresses.is_empty() {
             self.position = (self.position + 1) % self.addresses.len();
--- a/crates/node/tests/ports.rs
+++ b/crates/node/tests/ports.rs
@@ -64,6 +64,12 @@
     1018,
     "no"
 )]
+#[case::dot_segment(
+    b"GET /guiones/%2E./alertas HTTP/1.1\r\nconnection: close\r\n\r\n",
+    400,
+    1101,
+    "no"
+)]
 #[case::large_body(
     b"POST /guiones HTTP/1.1\r\ncontent-length: 1001\r\n\r\n",
     413,
--- a/crates/wire/src/http/connection.rs
+++ b/crates/wire/src/http/connection.rs
@@ -98,6 +98,9 @@
         else {
             return Err(fault::Fault::Malformed("request head"));
         };
+        if head.method == Method::CONNECT {
+            return Err(fault::Fault::Malformed("CONNECT is not served"));
+        }
         let framing = framing::Framing::request(&head.headers)?;
         if head.headers.contains_key(header::EXPECT) && self.input.is_empty() {
             self.write(Bytes::from_static(b"HTTP/1.1 100 Continue\r\n\r\n"))
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod handshake;
 pub mod header;
 pub mod http;
+pub mod link;
 pub mod message;
 pub mod rpc;
 pub mod socket;
--- a/crates/wire/src/rpc.rs
+++ b/crates/wire/src/rpc.rs
@@ -9,7 +9,7 @@
 use monoio::net::TcpStream;
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
-use crate::{error, handshake};
+use crate::{error, handshake, link};
 
 /// Time for opening a connection.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -35,18 +35,46 @@
     role: handshake::Role,
     credential: &handshake::Credential,
 ) -> Result<C, error::Error> {
+    let mut system = start(address, role, credential).await?;
+    let client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
+    run(system);
+    Ok(client)
+}
+
+/// As [`connect`], but the connection closes when the result is dropped.
+///
+/// # Errors
+/// Those of [`connect`].
+pub async fn open<C: capnp::capability::FromClientHook>(
+    address: SocketAddr,
+    role: handshake::Role,
+    credential: &handshake::Credential,
+) -> Result<link::Link<C>, error::Error> {
+    let mut system = start(address, role, credential).await?;
+    let client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
+    let disconnector = system.get_disconnector();
+    run(system);
+    Ok(link::Link::new(client, disconnector))
+}
+
+async fn start(
+    address: SocketAddr,
+    role: handshake::Role,
+    credential: &handshake::Credential,
+) -> Result<RpcSystem<rpc_twoparty_capnp::Side>, error::Error> {
     let mut stream = monoio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
         .map_err(|_| error::Error::Timeout)??;
     stream.set_nodelay(true)?;
     handshake::connect(&mut stream, role, credential).await?;
     let network = network(stream, rpc_twoparty_capnp::Side::Client)?;
-    let mut system = RpcSystem::new(Box::new(network), None);
-    let client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
+    Ok(RpcSystem::new(Box::new(network), None))
+}
+
+fn run(system: RpcSystem<rpc_twoparty_capnp::Side>) {
     monoio::spawn(async move {
         let _ = system.await;
     });
-    Ok(client)
 }
 
 /// Serves a bootstrap capability on an accepted connection until it closes.
--- a/crates/wire/tests/guards.rs
+++ b/crates/wire/tests/guards.rs
@@ -100,6 +100,7 @@
 #[case::bare_line_feed(head("a: b\nc: d\r\n"), "bad_request")]
 #[case::no_colon(head("abc\r\n"), "bad_request")]
 #[case::space_in_name(head("a b: c\r\n"), "bad_request")]
+#[case::tunnel("CONNECT a:1 HTTP/1.1\r\n\r\n".to_owned(), "bad_request")]
 #[case::no_request("\r\n\r\n".to_owned(), "bad_request")]
 #[case::other_protocol("MAST\u{1}\u{2}\r\n\r\n".to_owned(), "bad_request")]
 #[case::large_body(head("content-length: 101\r\n") + &"a".repeat(101), "body_too_large")]
