Box the answering future once instead of the whole serving one

Cause: an async function keeps its arguments twice, so racing an answer against the caller's close took 48,768 bytes per request. Change: the answering future is boxed before the race, and so is the part that races against the end of a parent call.

--- a/crates/node/src/caller/handler.rs
+++ b/crates/node/src/caller/handler.rs
@@ -63,7 +63,7 @@
         let parent = loan.as_ref().map(|loan| loan.parent);
         let flight = flight::Flight::new(services, admission.request, parent);
         let root = admission.root.clone();
-        let run = self.run(flight, admission, request, intake.idempotency_key);
+        let run = Box::pin(self.run(flight, admission, request, intake.idempotency_key));
         match race::race(run, ended(loan)).await {
             Either::Left(result) => result.map_err(|refusal| Refused { refusal, id: root }),
             Either::Right(()) => Err(Refused {
--- a/crates/node/src/race.rs
+++ b/crates/node/src/race.rs
@@ -5,7 +5,9 @@
 use futures::future::{self, Either};
 
 /// The output of the future that ends first; the other one is dropped before
-/// this returns. When both are ready the left one wins.
+/// this returns. When both are ready the left one wins. Large futures should be
+/// boxed by the caller, since an argument of an async function takes its space
+/// twice.
 pub async fn race<L: Future, R: Future>(left: L, right: R) -> Either<L::Output, R::Output> {
     let left = std::pin::pin!(left);
     let right = std::pin::pin!(right);
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -61,8 +61,7 @@
         };
         // Held until the answer is written, so that a shutdown waits for it.
         let _guard = activity.enter();
-        // Boxed, so that an idle connection does not keep the space.
-        if !Box::pin(serve(&mut connection, &mut handler, request, &stop)).await {
+        if !serve(&mut connection, &mut handler, request, &stop).await {
             return;
         }
     }
@@ -77,7 +76,8 @@
 ) -> bool {
     let head_only = request.method == Method::HEAD;
     let keep_alive = request.keep_alive;
-    let answering = handler.answer(request);
+    // Boxed, so that an idle connection does not keep the space.
+    let answering = Box::pin(handler.answer(request));
     let Either::Left(mut answer) = race::race(answering, connection.closed()).await else {
         return false;
     };
