Test sub-calls, pipelining and unreachable targets at a running node

The test of silent connections now uses a non-idempotent request, since an idempotent one may fail over once retries are decided on.

--- a/crates/node/tests/common/target.rs
+++ b/crates/node/tests/common/target.rs
@@ -41,6 +41,17 @@
 }
 
 impl Target {
+    /// A target at an address that another listener serves.
+    pub fn at(address: SocketAddr) -> Self {
+        Self {
+            address,
+            requests: Arc::default(),
+            connections: Arc::default(),
+            closed: Arc::default(),
+            heads: Arc::default(),
+        }
+    }
+
     /// All heads that the target received.
     pub fn seen(&self) -> String {
         self.heads.lock().unwrap().clone()
@@ -50,13 +61,7 @@
 /// Starts a target; requests must come without a body.
 pub fn start(script: Script) -> Target {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let target = Target {
-        address: listener.local_addr().unwrap(),
-        requests: Arc::default(),
-        connections: Arc::default(),
-        closed: Arc::default(),
-        heads: Arc::default(),
-    };
+    let target = Target::at(listener.local_addr().unwrap());
     let shared = target.clone();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
--- a/crates/node/tests/links.rs
+++ b/crates/node/tests/links.rs
@@ -21,7 +21,8 @@
 }
 
 // Guards against requests that keep using connections which have gone silent,
-// while new connections work.
+// while new connections work, and against a non-idempotent request caught there
+// that is run again or called not run.
 #[test]
 fn silent_connections_are_given_up() {
     let (near, _far, proxy) = pair_behind_proxy();
@@ -33,7 +34,7 @@
 
     proxy.silence();
     let begun = Instant::now();
-    let lost = client::exchange(near.caller, &request);
+    let lost = client::exchange(near.caller, &client::get("/alertas", ""));
     let noticed = begun.elapsed();
     let after = client::exchange(near.caller, &request);
 
--- a/crates/node/tests/path.rs
+++ b/crates/node/tests/path.rs
@@ -226,3 +226,53 @@
 
     fleet::wait_for(|| client::exchange(node.caller, &request).contains("code: 1007"));
 }
+
+// Guards against a request that is called maybe run although its target never
+// accepted a connection.
+#[test]
+fn unreachable_target_has_not_run() {
+    let node = fleet::node("uno", fleet::control());
+    node.announce(&target::Target::at(fleet::address()), 8);
+    node.wait_for_target();
+
+    let answer = client::exchange(node.caller, &client::get("/alertas", ""));
+
+    assert!(answer.contains("masticarch-ran: no\r\n"), "{answer}");
+}
+
+// Guards against requests that are lost or overtake each other when a caller
+// sends them without waiting.
+#[test]
+fn pipelined_requests_reach_the_target_in_order() {
+    let (node, target) = fleet::node_with_target(target::answering(OK));
+    let request = |number| format!("GET /guiones/{number} HTTP/1.1\r\nhost: a\r\n\r\n");
+    let mut bytes: String = (0..20).map(request).collect();
+    bytes.push_str(&String::from_utf8(client::get("/guiones/last", "")).unwrap());
+
+    let answer = client::exchange(node.caller, bytes.as_bytes());
+
+    assert_eq!(answer.matches("HTTP/1.1 200 OK").count(), 21, "{answer}");
+    let seen = target.seen();
+    let paths: Vec<&str> = seen
+        .lines()
+        .filter_map(|line| line.strip_prefix("GET /guiones/"))
+        .map(|rest| rest.trim_end_matches(" HTTP/1.1"))
+        .collect();
+    let mut expected: Vec<String> = (0..20).map(|number: u32| number.to_string()).collect();
+    expected.push("last".to_owned());
+    assert_eq!(paths, expected);
+}
+
+// Guards against an answer to `HEAD` that is taken for a truncated one.
+#[test]
+fn head_request_has_no_body() {
+    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\nx-own: 1\r\n\r\n";
+    let (node, _) = fleet::node_with_target(target::answering(answer));
+    let request = b"HEAD /guiones HTTP/1.1\r\nconnection: close\r\n\r\n";
+
+    let answer = client::exchange(node.caller, request);
+
+    assert!(answer.starts_with("HTTP/1.1 200 OK\r\n"), "{answer}");
+    assert!(answer.contains("x-own: 1\r\n"), "{answer}");
+    assert!(answer.ends_with("\r\n\r\n"), "{answer}");
+}
--- /dev/null
+++ b/crates/node/tests/subcalls.rs
@@ -0,0 +1,121 @@
+//! Calls that a target makes within a running call.
+
+mod common;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use common::{client, fleet, target};
+
+const OK: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nleaf";
+
+/// What the target saw.
+#[derive(Default)]
+struct Seen {
+    leaves: AtomicUsize,
+    closed: AtomicUsize,
+}
+
+/// A target that answers `/guiones/leaf`, never answers `/guiones/stuck`, and
+/// answers any other path with what its own node says to the call that the
+/// query names.
+fn chaining(node: SocketAddr) -> (target::Target, Arc<Seen>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let announced = target::Target::at(listener.local_addr().unwrap());
+    let seen = Arc::new(Seen::default());
+    let shared = seen.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let seen = shared.clone();
+            thread::spawn(move || while serve(&stream, node, &seen).is_some() {});
+        }
+    });
+    (announced, seen)
+}
+
+fn serve(mut stream: &TcpStream, node: SocketAddr, seen: &Seen) -> Option<()> {
+    let mut buffer = [0; 4096];
+    let count = stream.read(&mut buffer).ok().filter(|count| *count > 0)?;
+    let head = String::from_utf8_lossy(&buffer[..count]).into_owned();
+    if head.starts_with("GET /guiones/stuck ") {
+        seen.leaves.fetch_add(1, Ordering::SeqCst);
+        let _ = stream.read(&mut buffer);
+        seen.closed.fetch_add(1, Ordering::SeqCst);
+        return None;
+    }
+    if head.starts_with("GET /guiones/leaf ") {
+        seen.leaves.fetch_add(1, Ordering::SeqCst);
+        return stream.write_all(OK).ok();
+    }
+    let path = head.split(['?', ' ']).nth(2).unwrap();
+    let context = line(&head, "masticarch-context: ");
+    let call = client::get(path, &format!("masticarch-context: {context}\r\n"));
+    let answer = client::exchange(node, &call);
+    let length = answer.len();
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
+    stream.write_all((head + &answer).as_bytes()).ok()
+}
+
+fn line<'a>(head: &'a str, name: &str) -> &'a str {
+    let found = head.lines().find_map(|line| line.strip_prefix(name));
+    found.unwrap_or_default()
+}
+
+fn node_with_chain() -> (fleet::Node, Arc<Seen>) {
+    let node = fleet::node("uno", fleet::control());
+    let (target, seen) = chaining(node.caller);
+    node.announce(&target, 8);
+    node.wait_for_target();
+    (node, seen)
+}
+
+// Guards against a sub-call that is refused, or that gets another root id.
+#[test]
+fn subcall_inherits_from_its_parent() {
+    let (node, _) = node_with_chain();
+    let id = "masticarch-request-id: root-1\r\n";
+
+    let answer = client::exchange(node.caller, &client::get("/guiones?/guiones/leaf", id));
+
+    assert!(answer.ends_with("leaf"), "{answer}");
+    let ids = answer.matches("masticarch-request-id: root-1").count();
+    assert_eq!(ids, 2, "{answer}");
+}
+
+// Guards against a context that works after its call has ended.
+#[test]
+fn context_is_unknown_after_its_call() {
+    let (node, target) = fleet::node_with_target(target::answering(
+        "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+    ));
+    client::exchange(node.caller, &client::get("/guiones", ""));
+    let seen = target.seen();
+    let context = line(&seen, "masticarch-context: ");
+    let call = client::get("/guiones", &format!("masticarch-context: {context}\r\n"));
+
+    let answer = client::exchange(node.caller, &call);
+
+    assert!(!context.is_empty(), "{seen}");
+    assert!(answer.contains("masticarch-code: 1018"), "{answer}");
+}
+
+// Guards against sub-calls that run on after the caller of the root has gone.
+#[test]
+fn disconnect_cancels_subcalls() {
+    let (node, seen) = node_with_chain();
+    let mut stream = client::connect(node.caller);
+    stream
+        .write_all(&client::get("/guiones?/guiones/stuck", ""))
+        .unwrap();
+    fleet::wait_for(|| seen.leaves.load(Ordering::SeqCst) == 1);
+    let begun = Instant::now();
+
+    drop(stream);
+
+    fleet::wait_for(|| seen.closed.load(Ordering::SeqCst) == 1);
+    assert!(begun.elapsed() < Duration::from_secs(1));
+}
