Add the fault proxy and the open-loop generator

Failures between processes need connections that go silent, slow down or are reset on demand, and the bounds need load that does not wait for answers.

The runtime's sockets cannot be duplicated, which setting a linger time for a reset needs; the proxy therefore accepts on a thread that blocks in accept. The generator keeps one record for each attempt. Saturating records in a histogram that resizes itself put all latencies at 2 us, which a test showed; the histogram now has fixed bounds.

--- a/crates/load/src/commands/mod.rs
+++ b/crates/load/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! Subcommands.
 
+mod proxy;
 mod standin;
 
 use std::path::Path;
@@ -13,6 +14,8 @@
 #[derive(Debug, Parser)]
 #[command(name = "masticarch-load", version)]
 pub enum Command {
+    /// Runs a fault-injecting TCP proxy.
+    Proxy(proxy::Proxy),
     /// Runs a stand-in target.
     Standin(standin::Standin),
 }
@@ -21,6 +24,7 @@
     /// Runs the subcommand.
     pub fn run(self) -> Result<ExitCode, error::Error> {
         match self {
+            Self::Proxy(command) => command.run(),
             Self::Standin(command) => command.run(),
         }
     }
--- /dev/null
+++ b/crates/load/src/commands/proxy.rs
@@ -0,0 +1,39 @@
+//! Subcommand `proxy`.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use clap::Args;
+use masticarch_kernel::{runtime, stop};
+use masticarch_load::http::server;
+use masticarch_load::proxy::control;
+use masticarch_load::{error, proxy};
+use monoio::net::TcpListener;
+
+/// Runs a fault-injecting TCP proxy until it is ended.
+#[derive(Debug, Args)]
+pub struct Proxy {
+    /// Listening address.
+    #[arg(long)]
+    address: SocketAddr,
+    /// Address to which connections are passed on.
+    #[arg(long)]
+    upstream: SocketAddr,
+    /// Listening address for control: `PUT /fault` and `PUT /cut`.
+    #[arg(long)]
+    control: SocketAddr,
+}
+
+impl Proxy {
+    /// Runs the proxy.
+    pub fn run(self) -> Result<ExitCode, error::Error> {
+        runtime::run(async move {
+            let handle = proxy::Handle::start(self.address, self.upstream)?;
+            let listener = TcpListener::bind(self.control)?;
+            let handler = control::Control::new(handle.service());
+            let (_end, signal) = stop::Stop::new();
+            server::serve(listener, control::CONNECTIONS, handler, signal).await;
+            Ok(ExitCode::SUCCESS)
+        })?
+    }
+}
--- /dev/null
+++ b/crates/load/src/generator/attempt.rs
@@ -0,0 +1,128 @@
+//! One attempt of a request.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response};
+use masticarch_wire::header;
+
+use super::{record, team};
+use crate::error;
+use crate::http::connection;
+
+/// How an attempt ended, and its connection when it may be used again.
+pub struct Done {
+    /// How it ended.
+    pub end: record::End,
+    /// The connection.
+    pub connection: Option<connection::Connection>,
+}
+
+/// Builds the request of a team; every attempt of it is the same.
+///
+/// # Errors
+/// [`error::Error::Parse`] when path or key are not valid in HTTP.
+pub fn request(team: &team::Team, text: &str) -> Result<Request<Bytes>, error::Error> {
+    let body = body(text, team.body_bytes);
+    let mut builder = Request::post(&team.path).header(http::header::HOST, "masticarch");
+    let optional = [
+        (header::KEY, team.key.clone()),
+        (header::PRIORITY, team.priority.clone()),
+        (header::REQUEST_ID, team.request_id.then(|| text.to_owned())),
+        (
+            header::IDEMPOTENCY_KEY,
+            team.idempotency_key.then(|| text.to_owned()),
+        ),
+        (
+            header::DEADLINE_MS,
+            team.deadline_ms.map(|time| time.to_string()),
+        ),
+    ];
+    for (name, value) in optional {
+        if let Some(value) = value {
+            builder = builder.header(name, value);
+        }
+    }
+    builder
+        .body(body)
+        .map_err(|failure| error::Error::Parse(failure.to_string()))
+}
+
+/// A body that differs between requests, so that swapped answers show.
+fn body(text: &str, bytes: usize) -> Bytes {
+    let mut body = text.as_bytes().to_vec();
+    body.resize(bytes.max(body.len()), b'.');
+    body.into()
+}
+
+/// Sends a request on the given connection, or on a new one, and waits for the
+/// answer up to the timeout.
+pub async fn run(
+    address: SocketAddr,
+    idle: Option<connection::Connection>,
+    request: Request<Bytes>,
+    timeout: Duration,
+) -> Done {
+    let exchange = exchange(address, idle, request);
+    monoio::time::timeout(timeout, exchange)
+        .await
+        .unwrap_or(Done {
+            end: record::End::TimedOut,
+            connection: None,
+        })
+}
+
+async fn exchange(
+    address: SocketAddr,
+    idle: Option<connection::Connection>,
+    request: Request<Bytes>,
+) -> Done {
+    let mut connection = match idle {
+        Some(connection) => connection,
+        None => match connection::Connection::open(address).await {
+            Ok(connection) => connection,
+            Err(_) => return ended(record::End::Unreachable),
+        },
+    };
+    let expected = request.body().clone();
+    match connection.exchange(request).await {
+        Ok(answer) => Done {
+            end: read(&answer, &expected),
+            connection: connection::is_reusable(&answer).then_some(connection),
+        },
+        Err(_) => ended(record::End::Broken),
+    }
+}
+
+const fn ended(end: record::End) -> Done {
+    Done {
+        end,
+        connection: None,
+    }
+}
+
+/// Reads an answer. A served answer must repeat the body of its request.
+fn read(answer: &Response<Bytes>, expected: &Bytes) -> record::End {
+    if answer.status().is_success() && answer.body() != expected {
+        return record::End::Wrong;
+    }
+    record::End::Answered {
+        status: answer.status().as_u16(),
+        code: text(answer.headers(), header::CODE).and_then(|code| code.parse().ok()),
+        ran: text(answer.headers(), header::RAN).and_then(ran),
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn ran(text: &str) -> Option<record::Ran> {
+    match text {
+        "no" => Some(record::Ran::No),
+        "yes" => Some(record::Ran::Yes),
+        "unknown" => Some(record::Ran::Unknown),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/load/src/generator/report.rs
@@ -0,0 +1,96 @@
+//! What a run of the generator has shown.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+use super::{plan, record};
+
+/// Longest latency that a histogram tells apart: the longest timeout of a route.
+const LONGEST_MICROSECONDS: u64 = 600_000_000;
+
+/// The plan of a run and the records of all attempts, in the order in which
+/// they ended.
+pub struct Report {
+    /// The plan.
+    pub plan: plan::Plan,
+    /// The records.
+    pub records: Vec<record::Record>,
+}
+
+impl Report {
+    /// Makes a report.
+    #[must_use]
+    pub const fn new(plan: plan::Plan, records: Vec<record::Record>) -> Self {
+        Self { plan, records }
+    }
+
+    /// The last attempt of every request, which tells how the request ended.
+    pub fn requests(&self) -> impl Iterator<Item = &record::Record> {
+        self.records.iter().filter(|record| record.last)
+    }
+
+    /// The last attempts of one team.
+    pub fn of_team(&self, team: usize) -> impl Iterator<Item = &record::Record> {
+        self.requests().filter(move |record| record.id.team == team)
+    }
+
+    /// Latencies of served requests in microseconds, from the intended moment.
+    ///
+    /// # Panics
+    /// Never: the bounds of the histogram are valid.
+    #[must_use]
+    pub fn latencies(&self) -> Histogram<u64> {
+        let mut histogram = Histogram::new_with_bounds(1, LONGEST_MICROSECONDS, 3)
+            .expect("the bounds of the histogram are valid");
+        for record in self.requests().filter(|record| record.is_served()) {
+            let microseconds = u64::try_from(record.latency().as_micros()).unwrap_or(u64::MAX);
+            histogram.saturating_record(microseconds);
+        }
+        histogram
+    }
+
+    /// Share of the requests of one team that were served; 1 when it sent none.
+    #[must_use]
+    pub fn served_share(&self, team: usize) -> f64 {
+        let total = self.of_team(team).count();
+        let served = self
+            .of_team(team)
+            .filter(|record| record.is_served())
+            .count();
+        if total == 0 {
+            return 1.0;
+        }
+        ratio(served, total)
+    }
+
+    /// Attempts by result code; 0 stands for an answer without a code.
+    #[must_use]
+    pub fn by_code(&self, team: usize) -> BTreeMap<u16, usize> {
+        let mut counts = BTreeMap::new();
+        let own = self.records.iter().filter(|record| record.id.team == team);
+        for record in own {
+            *counts.entry(record.code().unwrap_or(0)).or_default() += 1;
+        }
+        counts
+    }
+
+    /// Served requests per second among those that ended in a span of time.
+    #[must_use]
+    pub fn goodput(&self, from: Duration, to: Duration) -> f64 {
+        let inside = |record: &&record::Record| {
+            record.is_served() && record.ended >= from && record.ended < to
+        };
+        let served = self.requests().filter(inside).count();
+        let seconds = to.saturating_sub(from).as_secs_f64();
+        f64::from(u32::try_from(served).unwrap_or(u32::MAX)) / seconds
+    }
+}
+
+/// The quotient of two counts.
+fn ratio(part: usize, whole: usize) -> f64 {
+    let part = u32::try_from(part).unwrap_or(u32::MAX);
+    let whole = u32::try_from(whole).unwrap_or(u32::MAX);
+    f64::from(part) / f64::from(whole)
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -3,6 +3,8 @@
 //! runner of the experiments.
 
 pub mod error;
+pub mod generator;
 pub mod http;
 pub mod ports;
+pub mod proxy;
 pub mod standin;
--- /dev/null
+++ b/crates/load/src/proxy/mod.rs
@@ -0,0 +1,15 @@
+//! A TCP proxy that injects faults between two processes.
+//!
+//! Its service `proxy` owns the fault in force and an arena of connections.
+//! Each connection is one task that owns both sockets.
+
+pub mod acceptor;
+pub mod control;
+pub mod fault;
+pub mod handle;
+pub mod pump;
+pub mod relay;
+pub mod service;
+
+pub use fault::Fault;
+pub use handle::Handle;
--- /dev/null
+++ b/crates/load/src/proxy/service.rs
@@ -0,0 +1,134 @@
+//! The service `proxy`: the fault in force and the connections.
+
+use masticarch_kernel::{address, mailbox, name, reply, task};
+
+use super::{acceptor, fault, pump, relay};
+
+/// Name of the service.
+pub const NAME: name::Name = name::Name::new("proxy");
+
+slotmap::new_key_type! {
+    /// A connection.
+    pub struct Key;
+}
+
+/// What the service is asked to do.
+#[derive(Debug)]
+pub enum Message {
+    /// A connection has been accepted.
+    Accepted(acceptor::Pair),
+    /// The task of a connection has ended.
+    Ended(Key),
+    /// Puts a fault in force.
+    Apply(fault::Fault, reply::Reply<()>),
+    /// Cuts all existing connections and replies with their number.
+    Cut(fault::Cut, reply::Reply<usize>),
+    /// Counts the connections.
+    Count(reply::Reply<usize>),
+}
+
+/// The state of the service.
+pub struct Service {
+    fault: fault::Fault,
+    links: slotmap::SlotMap<Key, relay::Link>,
+    own: address::Address<Message>,
+}
+
+impl Service {
+    /// Makes the state; tasks of connections report to `own`.
+    #[must_use]
+    pub fn new(own: address::Address<Message>) -> Self {
+        Self {
+            fault: fault::Fault::default(),
+            links: slotmap::SlotMap::with_key(),
+            own,
+        }
+    }
+
+    /// Handles messages until the service stops.
+    pub async fn run(
+        mut self,
+        mut mailbox: mailbox::Mailbox<Message>,
+        stop: masticarch_kernel::stop::Stop,
+    ) {
+        loop {
+            let message = monoio::select! {
+                message = mailbox.receive() => message,
+                () = stop.wait() => None,
+            };
+            match message {
+                Some(message) => self.handle(message),
+                None => return,
+            }
+        }
+    }
+
+    fn handle(&mut self, message: Message) {
+        match message {
+            Message::Accepted(pair) => self.accept(pair),
+            Message::Ended(key) => {
+                self.links.remove(key);
+            }
+            Message::Apply(fault, reply) => {
+                self.apply(fault);
+                let _ = reply.send(());
+            }
+            Message::Cut(cut, reply) => {
+                let _ = reply.send(self.cut(cut));
+            }
+            Message::Count(reply) => {
+                let _ = reply.send(self.links.len());
+            }
+        }
+    }
+
+    fn accept(&mut self, pair: acceptor::Pair) {
+        if self.fault.refuse {
+            let _ = relay::reset_on_close(&pair.client);
+            return;
+        }
+        let (link, orders) = relay::link();
+        let key = self.links.insert(link);
+        let fault = self.fault;
+        let own = self.own.clone();
+        task::spawn(NAME, async move {
+            let _ = relay::run(pair, fault, orders).await;
+            let _ = own.send(Message::Ended(key)).await;
+        });
+    }
+
+    fn apply(&mut self, fault: fault::Fault) {
+        self.fault = fault;
+        let live = self.links.values().filter(|link| !link.blackholed);
+        for link in live {
+            let _ = link.forward.try_send(pump::Order::Apply(fault));
+            let _ = link.backward.try_send(pump::Order::Apply(fault));
+        }
+    }
+
+    fn cut(&mut self, cut: fault::Cut) -> usize {
+        let count = self.links.len();
+        match cut {
+            fault::Cut::Blackhole => self.blackhole(),
+            fault::Cut::Reset => self.links.clear(),
+            fault::Cut::HalfClose => {
+                for link in self.links.values() {
+                    let _ = link.forward.try_send(pump::Order::End);
+                }
+            }
+        }
+        count
+    }
+
+    fn blackhole(&mut self) {
+        let silence = fault::Fault {
+            stall: true,
+            ..self.fault
+        };
+        for link in self.links.values_mut() {
+            link.blackholed = true;
+            let _ = link.forward.try_send(pump::Order::Apply(silence));
+            let _ = link.backward.try_send(pump::Order::Apply(silence));
+        }
+    }
+}
--- a/crates/load/tests/standin.rs
+++ b/crates/load/tests/standin.rs
@@ -173,7 +173,7 @@
             ..behaviour::Change::default()
         };
         standin.change(change).await.unwrap();
-        monoio::time::sleep(Duration::from_millis(1000)).await;
+        monoio::time::sleep(Duration::from_secs(1)).await;
         seen.0.borrow().clone()
     });
 
