Add the fleet harness and the first integration tests

Integration tests and experiments need fleets of real processes that can be killed, frozen and restarted, and that leave nothing behind. Stand-ins run on threads of the harness and fault proxies on its runtime. Settings files are written in one module.

cargo test does not build programs of other packages without integration tests and would leave an outdated daemon in place, so the fixtures run cargo build once for each test program.

--- /dev/null
+++ b/crates/load/src/fleet/objects.rs
@@ -0,0 +1,81 @@
+//! Builds operators' objects for a fleet.
+
+use std::time::Duration;
+
+use masticarch_model::{access, configuration, key, limit, name, priority, route, secret, team};
+
+/// A configuration under construction, with keys drawn from a seed.
+pub struct Objects {
+    /// The objects so far.
+    pub set: configuration::Configuration,
+    random: fastrand::Rng,
+}
+
+impl Objects {
+    /// Starts with priorities, the highest first.
+    #[must_use]
+    pub fn new(seed: u64, priorities: &[&str]) -> Self {
+        let mut set = configuration::Configuration::default();
+        let mut above = None;
+        for text in priorities {
+            let name = name::Name::new(text);
+            set.priorities.push(priority::Priority {
+                name: name.clone(),
+                below: above.replace(name),
+            });
+        }
+        Self {
+            set,
+            random: fastrand::Rng::with_seed(seed),
+        }
+    }
+
+    /// Adds a team with a limit and a key of the same name, and returns the key
+    /// as its holder presents it.
+    pub fn team(&mut self, text: &str, rate: f64, burst: u32) -> String {
+        let name = name::Name::new(text);
+        let id = self.random.u64(..).to_be_bytes();
+        let bytes = std::array::from_fn(|_| self.random.u8(..));
+        let secret = secret::Secret::new(id, bytes);
+        self.set.limits.push(limit::Limit {
+            name: name.clone(),
+            rate_per_second: rate,
+            burst,
+        });
+        self.set.teams.push(team::Team {
+            name: name.clone(),
+            limit: name.clone(),
+            weight: 1,
+        });
+        self.set.keys.push(key::Key {
+            name: name.clone(),
+            team: name,
+            id,
+            hash: secret.hash(),
+            withdrawn: false,
+        });
+        secret.reveal()
+    }
+
+    /// Adds a route `/service` for the given teams; open to all without teams.
+    /// The result can be changed further.
+    pub fn route(&mut self, service: &str, priority: &str, teams: &[&str]) -> &mut route::Route {
+        let access = if teams.is_empty() {
+            access::Access::Open
+        } else {
+            access::Access::Teams(teams.iter().map(|text| name::Name::new(text)).collect())
+        };
+        self.set.routes.push(route::Route {
+            name: name::Name::new(service),
+            path: format!("/{service}").into(),
+            service: name::Name::new(service),
+            priority: name::Name::new(priority),
+            access,
+            idempotent: true,
+            timeout: Duration::from_secs(2),
+            retries: 3,
+        });
+        let last = self.set.routes.len() - 1;
+        &mut self.set.routes[last]
+    }
+}
--- /dev/null
+++ b/crates/load/src/fleet/operator.rs
@@ -0,0 +1,174 @@
+//! Operators' calls to the control processes of a fleet.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use masticarch_model::{change, configuration, edit, kind, name, object, version};
+use masticarch_wire::message::{self, operator, status};
+use masticarch_wire::{handshake, masticarch_capnp, rpc};
+
+use crate::error;
+
+/// Longest wait for the answer to one call.
+const TIMEOUT: Duration = Duration::from_secs(2);
+/// Time before another control process is asked.
+const PAUSE: Duration = Duration::from_millis(50);
+/// Time within which a leader must be found.
+const LIMIT: Duration = Duration::from_secs(15);
+
+/// An operator of a fleet.
+#[derive(Clone, Debug)]
+pub struct Operator {
+    addresses: Vec<SocketAddr>,
+    credential: handshake::Credential,
+}
+
+impl Operator {
+    /// Makes an operator that reaches the given operator ports.
+    #[must_use]
+    pub const fn new(addresses: Vec<SocketAddr>, credential: handshake::Credential) -> Self {
+        Self {
+            addresses,
+            credential,
+        }
+    }
+
+    /// Makes a call, asking one control process after the other until the
+    /// leader answers. Changes carry an id, so that repeating them is safe.
+    ///
+    /// # Errors
+    /// [`error::Error::Timeout`] when no leader answers.
+    pub async fn call(&self, request: &operator::Request) -> Result<operator::Reply, error::Error> {
+        let started = Instant::now();
+        let mut addresses = self.addresses.iter().copied().cycle();
+        while started.elapsed() < LIMIT {
+            let Some(address) = addresses.next() else {
+                break;
+            };
+            let reply = monoio::time::timeout(TIMEOUT, self.ask(address, request)).await;
+            match reply {
+                Ok(Ok(operator::Reply::NotLeader(_)) | Err(_)) | Err(_) => {
+                    monoio::time::sleep(PAUSE).await;
+                }
+                Ok(Ok(reply)) => return Ok(reply),
+            }
+        }
+        Err(error::Error::Timeout("a leader".into()))
+    }
+
+    async fn ask(
+        &self,
+        address: SocketAddr,
+        request: &operator::Request,
+    ) -> Result<operator::Reply, masticarch_wire::error::Error> {
+        let role = handshake::Role::Operator;
+        let client: masticarch_capnp::operator::Client =
+            rpc::connect(address, role, &self.credential).await?;
+        let mut call = client.call_request();
+        call.get().set_request(&message::encode(request));
+        let response = call.send().promise.await?;
+        message::decode(response.get()?.get_reply()?)
+    }
+
+    /// Replaces the whole configuration.
+    ///
+    /// # Errors
+    /// [`error::Error::Refused`] when it is not accepted.
+    pub async fn replace(
+        &self,
+        set: configuration::Configuration,
+    ) -> Result<version::Version, error::Error> {
+        self.change(vec![edit::Edit::Replace(set)]).await
+    }
+
+    /// Withdraws a key.
+    ///
+    /// # Errors
+    /// [`error::Error::Refused`] when the key does not exist.
+    pub async fn withdraw(&self, key: &str) -> Result<version::Version, error::Error> {
+        let (_, set) = self.configuration().await?;
+        let entry = set
+            .keys
+            .into_iter()
+            .find(|entry| entry.name.as_str() == key);
+        let mut entry = entry.ok_or_else(|| {
+            error::Error::Refused(format!("no {} is named {key}", kind::Kind::Key))
+        })?;
+        entry.withdrawn = true;
+        self.change(vec![edit::Edit::Put(object::Object::Key(entry))])
+            .await
+    }
+
+    /// Commits edits on top of the present configuration.
+    ///
+    /// # Errors
+    /// [`error::Error::Refused`] when they are not accepted.
+    pub async fn change(&self, edits: Vec<edit::Edit>) -> Result<version::Version, error::Error> {
+        let (expected, _) = self.configuration().await?;
+        let change = change::Change {
+            id: fastrand::u128(..),
+            expected,
+            operator: self.credential.name().clone(),
+            edits,
+        };
+        match self.call(&operator::Request::Apply(change)).await? {
+            operator::Reply::Accepted(version) => Ok(version),
+            other => Err(refused(&other)),
+        }
+    }
+
+    /// Reads the present configuration and its version.
+    ///
+    /// # Errors
+    /// [`error::Error::Refused`] when the call is refused.
+    pub async fn configuration(
+        &self,
+    ) -> Result<(version::Version, configuration::Configuration), error::Error> {
+        match self.call(&operator::Request::Get).await? {
+            operator::Reply::Configuration(version, set) => Ok((version, *set)),
+            other => Err(refused(&other)),
+        }
+    }
+
+    /// Reads the state of the fleet.
+    ///
+    /// # Errors
+    /// [`error::Error::Refused`] when the call is refused.
+    pub async fn status(&self) -> Result<status::Status, error::Error> {
+        match self.call(&operator::Request::Status).await? {
+            operator::Reply::Status(status) => Ok(*status),
+            other => Err(refused(&other)),
+        }
+    }
+
+    /// Waits until every node holds a version.
+    ///
+    /// # Errors
+    /// [`error::Error::Timeout`] when one does not hold it after the limit.
+    pub async fn in_force(
+        &self,
+        version: version::Version,
+        nodes: &[name::Name],
+        limit: Duration,
+    ) -> Result<(), error::Error> {
+        let started = Instant::now();
+        while started.elapsed() < limit {
+            let status = self.status().await?;
+            let holds = |wanted: &name::Name| {
+                let mut known = status.nodes.iter();
+                known.any(|node| node.name == *wanted && node.held >= version)
+            };
+            if nodes.iter().all(holds) {
+                return Ok(());
+            }
+            monoio::time::sleep(PAUSE).await;
+        }
+        Err(error::Error::Timeout(format!(
+            "version {version} on every node"
+        )))
+    }
+}
+
+fn refused(reply: &operator::Reply) -> error::Error {
+    error::Error::Refused(format!("{reply:?}"))
+}
--- /dev/null
+++ b/crates/load/src/fleet/process.rs
@@ -0,0 +1,137 @@
+//! One process of a fleet.
+
+use std::fs::File;
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+use rustix::process::{Pid, Signal};
+
+use crate::error;
+
+/// Time between two looks at whether a process has ended.
+const POLL: Duration = Duration::from_millis(10);
+
+/// A process that can be ended and started again with the same settings. It is
+/// killed when dropped.
+pub struct Process {
+    program: PathBuf,
+    arguments: Vec<String>,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+impl Process {
+    /// Starts a process whose output is appended to a log file.
+    ///
+    /// # Errors
+    /// [`error::Error::Io`] when it cannot be started.
+    pub fn start(
+        program: PathBuf,
+        arguments: Vec<String>,
+        log: PathBuf,
+    ) -> Result<Self, error::Error> {
+        let mut process = Self {
+            program,
+            arguments,
+            log,
+            child: None,
+        };
+        process.restart()?;
+        Ok(process)
+    }
+
+    /// Starts the process again, after killing it if it still runs.
+    ///
+    /// # Errors
+    /// [`error::Error::Io`] when it cannot be started.
+    pub fn restart(&mut self) -> Result<(), error::Error> {
+        self.kill()?;
+        let output = File::options().create(true).append(true).open(&self.log)?;
+        let child = Command::new(&self.program)
+            .args(&self.arguments)
+            .stdin(Stdio::null())
+            .stdout(output.try_clone()?)
+            .stderr(output)
+            .spawn()?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Ends the process at once (SIGKILL).
+    ///
+    /// # Errors
+    /// [`error::Error::Io`] when it cannot be signalled.
+    pub fn kill(&mut self) -> Result<(), error::Error> {
+        if let Some(mut child) = self.child.take() {
+            child.kill()?;
+            child.wait()?;
+        }
+        Ok(())
+    }
+
+    /// Freezes the process (SIGSTOP).
+    ///
+    /// # Errors
+    /// [`error::Error::Io`] when it cannot be signalled.
+    pub fn freeze(&self) -> Result<(), error::Error> {
+        self.signal(Signal::STOP)
+    }
+
+    /// Lets a frozen process run on (SIGCONT).
+    ///
+    /// # Errors
+    /// [`error::Error::Io`] when it cannot be signalled.
+    pub fn thaw(&self) -> Result<(), error::Error> {
+        self.signal(Signal::CONT)
+    }
+
+    /// Asks the process to shut down (SIGTERM).
+    ///
+    /// # Errors
+    /// [`error::Error::Io`] when it cannot be signalled.
+    pub fn terminate(&self) -> Result<(), error::Error> {
+        self.signal(Signal::TERM)
+    }
+
+    /// Waits until the process has ended by itself.
+    ///
+    /// # Errors
+    /// [`error::Error::Timeout`] when it still runs after the limit.
+    pub async fn wait(&mut self, limit: Duration) -> Result<Option<ExitStatus>, error::Error> {
+        let started = Instant::now();
+        let Some(child) = self.child.as_mut() else {
+            return Ok(None);
+        };
+        while started.elapsed() < limit {
+            if let Some(status) = child.try_wait()? {
+                self.child = None;
+                return Ok(Some(status));
+            }
+            monoio::time::sleep(POLL).await;
+        }
+        Err(error::Error::Timeout("a process to end".into()))
+    }
+
+    /// Its log so far.
+    ///
+    /// # Errors
+    /// [`error::Error::Io`] when the file cannot be read.
+    pub fn log(&self) -> Result<String, error::Error> {
+        Ok(std::fs::read_to_string(&self.log)?)
+    }
+
+    fn signal(&self, signal: Signal) -> Result<(), error::Error> {
+        let Some(child) = &self.child else {
+            return Ok(());
+        };
+        rustix::process::kill_process(Pid::from_child(child), signal)
+            .map_err(|failure| error::Error::Io(failure.into()))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.kill();
+    }
+}
--- /dev/null
+++ b/crates/load/src/fleet/settings.rs
@@ -0,0 +1,90 @@
+//! Settings files of the daemon. Only this module knows their fields.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use serde::Serialize;
+
+use crate::error;
+
+/// Settings of a node process.
+#[derive(Clone, Debug, Serialize)]
+pub struct Node {
+    /// Name of the node.
+    pub name: String,
+    /// Its region.
+    pub region: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// Listening address for callers.
+    pub caller: SocketAddr,
+    /// Listening address for other nodes.
+    pub peer: SocketAddr,
+    /// Address under which other nodes reach `peer`.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub advertised: Option<SocketAddr>,
+    /// Listening address for health, status and announcements.
+    pub admin: SocketAddr,
+    /// Member ports of the control processes.
+    pub control: Vec<SocketAddr>,
+    /// File with the fleet's secret.
+    pub secret_file: PathBuf,
+    /// `false` for a baseline without the decisions of the request path.
+    pub decisions: bool,
+}
+
+/// A member of the control group.
+#[derive(Clone, Debug, Serialize)]
+pub struct Member {
+    /// Its identity.
+    pub id: u64,
+    /// Address under which others reach its member port.
+    pub address: SocketAddr,
+}
+
+/// The credential of an operator.
+#[derive(Clone, Debug, Serialize)]
+pub struct Operator {
+    /// Name of the credential.
+    pub name: String,
+    /// File with its secret.
+    pub secret_file: PathBuf,
+}
+
+/// Settings of a control process.
+#[derive(Clone, Debug, Serialize)]
+pub struct Control {
+    /// Identity of the member.
+    pub id: u64,
+    /// Listening address for members and nodes.
+    pub member: SocketAddr,
+    /// Address under which others reach `member`.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub advertised: Option<SocketAddr>,
+    /// Listening address for operators.
+    pub operator: SocketAddr,
+    /// Listening address for health.
+    pub admin: SocketAddr,
+    /// Data directory.
+    pub data: PathBuf,
+    /// The first members.
+    pub members: Vec<Member>,
+    /// Whether the data directory may be new.
+    pub new: bool,
+    /// Whether the process joins an existing group.
+    pub join: bool,
+    /// File with the fleet's secret.
+    pub secret_file: PathBuf,
+    /// Credentials of the operators.
+    pub operators: Vec<Operator>,
+}
+
+/// Writes settings as YAML.
+///
+/// # Errors
+/// [`error::Error::Io`] when the file cannot be written.
+pub fn write<T: Serialize>(path: &Path, settings: &T) -> Result<(), error::Error> {
+    let text = serde_saphyr::to_string(settings)
+        .map_err(|failure| error::Error::Parse(failure.to_string()))?;
+    Ok(std::fs::write(path, text)?)
+}
--- /dev/null
+++ b/crates/load/src/standin/host.rs
@@ -0,0 +1,99 @@
+//! A stand-in on a thread of its own, as the harness runs it.
+
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+
+use futures::channel::oneshot;
+use masticarch_kernel::{address, runtime};
+
+use super::{behaviour, handle, record, settings, work};
+use crate::error;
+
+/// Time for the stand-in to stop.
+const STOP_LIMIT: Duration = Duration::from_secs(1);
+
+/// A stand-in on a thread of its own; it stops when dropped.
+pub struct Host {
+    settings: settings::Settings,
+    work: address::Address<work::Message>,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl Host {
+    /// Starts a stand-in.
+    ///
+    /// # Errors
+    /// [`error::Error::Io`] when an address cannot be bound.
+    pub fn start(settings: settings::Settings) -> Result<Self, error::Error> {
+        let (stop, stopped) = oneshot::channel();
+        let (started, outcome) = mpsc::channel();
+        let own = settings.clone();
+        let thread = thread::spawn(move || {
+            let _ = runtime::run(serve(own, started, stopped));
+        });
+        let work = outcome
+            .recv()
+            .map_err(|_| error::Error::Timeout("the start of a stand-in".into()))??;
+        Ok(Self {
+            settings,
+            work,
+            stop: Some(stop),
+            thread: Some(thread),
+        })
+    }
+
+    /// What it was started with.
+    #[must_use]
+    pub const fn settings(&self) -> &settings::Settings {
+        &self.settings
+    }
+
+    /// Changes the behaviour.
+    ///
+    /// # Errors
+    /// [`error::Error::Kernel`] when the stand-in has stopped.
+    pub async fn change(
+        &self,
+        change: behaviour::Change,
+    ) -> Result<behaviour::Behaviour, error::Error> {
+        let build = |reply| work::Message::Change(change, reply);
+        Ok(self.work.ask(build).await?)
+    }
+
+    /// Reads the executions so far.
+    ///
+    /// # Errors
+    /// [`error::Error::Kernel`] when the stand-in has stopped.
+    pub async fn executions(&self) -> Result<record::Executions, error::Error> {
+        Ok(self.work.ask(work::Message::Executions).await?)
+    }
+}
+
+/// Runs a stand-in until it is stopped.
+async fn serve(
+    settings: settings::Settings,
+    started: mpsc::Sender<Result<address::Address<work::Message>, error::Error>>,
+    stopped: oneshot::Receiver<()>,
+) {
+    match handle::Handle::start(settings) {
+        Ok(handle) => {
+            let _ = started.send(Ok(handle.work()));
+            let _ = stopped.await;
+            handle.stop(STOP_LIMIT).await;
+        }
+        Err(failure) => {
+            let _ = started.send(Err(failure));
+        }
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        drop(self.stop.take());
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
--- a/crates/load/src/standin/mod.rs
+++ b/crates/load/src/standin/mod.rs
@@ -10,6 +10,7 @@
 pub mod control;
 pub mod distribution;
 pub mod handle;
+pub mod host;
 pub mod record;
 pub mod settings;
 pub mod target;
--- /dev/null
+++ b/crates/testsuite/src/arranged.rs
@@ -0,0 +1,42 @@
+//! Fleets in a known state.
+
+use std::time::Duration;
+
+use masticarch_load::fleet::{self, objects};
+
+use crate::daemon;
+
+/// Time for processes to become ready and configurations to be in force; far
+/// above the bounds of the design, which other tests hold.
+pub const LIMIT: Duration = Duration::from_secs(20);
+
+/// Starts a fleet, applies a configuration, and waits until it is in force on
+/// every node and every stand-in is known as a target.
+///
+/// # Panics
+/// When any of this fails.
+pub async fn arrange(spec: &fleet::Spec, objects: objects::Objects) -> fleet::Fleet {
+    daemon::build();
+    let fleet = fleet::Fleet::start(spec).expect("the fleet starts");
+    fleet.ready(LIMIT).await.expect("all processes are ready");
+    let version = fleet.operator.replace(objects.set).await;
+    let version = version.expect("the configuration is accepted");
+    let names = fleet.names();
+    let in_force = fleet.operator.in_force(version, &names, LIMIT);
+    in_force.await.expect("the configuration is in force");
+    let known = fleet.targets_known(LIMIT).await;
+    known.expect("all targets are known");
+    fleet
+}
+
+/// A node without a target.
+#[must_use]
+pub fn bare_node() -> fleet::spec::Node {
+    fleet::spec::Node::builder().build()
+}
+
+/// A node with a stand-in for a service beside it.
+#[must_use]
+pub fn node_with(target: fleet::spec::Target) -> fleet::spec::Node {
+    fleet::spec::Node::builder().target(target).build()
+}
--- /dev/null
+++ b/crates/testsuite/src/daemon.rs
@@ -0,0 +1,61 @@
+//! Builds the daemon before the first fleet starts.
+
+use std::path::Path;
+use std::process::Command;
+use std::sync::OnceLock;
+
+use masticarch_load::fleet::binary;
+
+static BUILT: OnceLock<()> = OnceLock::new();
+
+/// Builds `masticarchd` in the profile of the tests, once for each test
+/// program.
+///
+/// `cargo test --workspace` does not build programs of packages without
+/// integration tests of their own, and would leave an outdated one in place. The
+/// build runs cargo only when the tests themselves were started by cargo and the
+/// environment names no other program.
+///
+/// # Panics
+/// When the build fails.
+pub fn build() {
+    BUILT.get_or_init(|| {
+        let Some(cargo) = std::env::var_os("CARGO") else {
+            return;
+        };
+        if std::env::var_os(binary::VARIABLE).is_some() {
+            return;
+        }
+        let own = std::env::current_exe().expect("the test program has a path");
+        let profile = own.ancestors().nth(2).expect("it lies in <profile>/deps");
+        let status = command(Path::new(&cargo), profile)
+            .status()
+            .expect("cargo can be started");
+        assert!(status.success(), "{} cannot be built", binary::PROGRAM);
+    });
+}
+
+fn command(cargo: &Path, profile: &Path) -> Command {
+    let manifest = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../Cargo.toml");
+    let target = profile
+        .parent()
+        .expect("a profile lies in the target directory");
+    let mut command = Command::new(cargo);
+    command
+        .args([
+            "build",
+            "--quiet",
+            "--locked",
+            "--package",
+            "masticarch-daemon",
+        ])
+        .args(["--bin", binary::PROGRAM])
+        .arg("--manifest-path")
+        .arg(manifest)
+        .arg("--target-dir")
+        .arg(target);
+    if profile.ends_with("release") {
+        command.arg("--release");
+    }
+    command
+}
--- a/crates/testsuite/src/lib.rs
+++ b/crates/testsuite/src/lib.rs
@@ -1,1 +1,9 @@
-//! testsuite
+//! Fixtures of the integration tests, which run fleets of real processes.
+//!
+//! The files in `tests/` follow the features. Each test arranges a fleet with
+//! [`arranged::arrange`], acts as a caller with [`caller::Caller`] or as an
+//! operator, and asserts on answers and on the records of the stand-ins.
+
+pub mod arranged;
+pub mod caller;
+pub mod daemon;
