Add the experiments 1 to 9 and their runner

Every bound of the design needs a run that shows it, next to a baseline under the same load and faults. An experiment is a YAML file with fleet, objects, clients, phases, actions and bounded measures; the runner takes every measure of both runs and prints a table and one JSON object.

Bounds are those of the table in the design. Experiment 9 reads 'does not grow' as at most 10% more processor time, because ticks of 10 ms and noise between runs hide smaller changes.

No experiment has been run: the daemon does not exist yet.

--- a/crates/load/src/commands/mod.rs
+++ b/crates/load/src/commands/mod.rs
@@ -1,6 +1,8 @@
 //! Subcommands.
 
+mod generate;
 mod proxy;
+mod run;
 mod standin;
 
 use std::path::Path;
@@ -14,8 +16,12 @@
 #[derive(Debug, Parser)]
 #[command(name = "masticarch-load", version)]
 pub enum Command {
+    /// Sends load and reports latencies and counts.
+    Generate(generate::Generate),
     /// Runs a fault-injecting TCP proxy.
     Proxy(proxy::Proxy),
+    /// Runs an experiment and its baseline.
+    Run(run::Run),
     /// Runs a stand-in target.
     Standin(standin::Standin),
 }
@@ -24,7 +30,9 @@
     /// Runs the subcommand.
     pub fn run(self) -> Result<ExitCode, error::Error> {
         match self {
+            Self::Generate(command) => command.run(),
             Self::Proxy(command) => command.run(),
+            Self::Run(command) => command.run(),
             Self::Standin(command) => command.run(),
         }
     }
--- /dev/null
+++ b/crates/load/src/experiment/action.rs
@@ -0,0 +1,133 @@
+//! Faults and repairs during an experiment.
+
+use serde::{Deserialize, Serialize};
+
+use crate::standin::behaviour;
+use crate::{error, fleet, proxy};
+
+/// A process of the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Process {
+    /// A node by number.
+    Node(usize),
+    /// A control process by number, from 0.
+    Control(usize),
+    /// The control process that leads at that moment.
+    Leader,
+}
+
+/// What is done.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Action {
+    /// Kills a process.
+    Kill(Process),
+    /// Freezes a process.
+    Freeze(Process),
+    /// Lets all frozen processes run on.
+    ThawAll,
+    /// Starts all killed processes again.
+    RestartKilled,
+    /// Changes the stand-ins beside the nodes from the first to the last number.
+    Change {
+        /// First node.
+        first: usize,
+        /// Last node.
+        last: usize,
+        /// The change.
+        change: behaviour::Change,
+    },
+    /// Cuts the existing connections between nodes.
+    CutPeers(proxy::fault::Cut),
+    /// Puts a fault before the member ports of all control processes.
+    FaultControls(proxy::Fault),
+}
+
+/// An action and its moment since the start of the load.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Timed {
+    /// The moment.
+    pub at_ms: u64,
+    /// What is done.
+    pub action: Action,
+}
+
+impl Action {
+    /// Does it.
+    ///
+    /// # Errors
+    /// Any error of the processes or proxies it works on.
+    pub async fn apply(self, fleet: &mut fleet::Fleet) -> Result<(), error::Error> {
+        match self {
+            Self::Kill(process) => find(fleet, process).await?.kill(),
+            Self::Freeze(process) => find(fleet, process).await?.freeze(),
+            Self::ThawAll => all(fleet).try_for_each(|process| process.thaw()),
+            Self::RestartKilled => all(fleet)
+                .filter(|process| process.id().is_none())
+                .try_for_each(fleet::process::Process::restart),
+            Self::Change {
+                first,
+                last,
+                change,
+            } => change_targets(&fleet.nodes[first..=last], change).await,
+            Self::CutPeers(cut) => cut_peers(fleet, cut).await,
+            Self::FaultControls(fault) => fault_controls(fleet, fault).await,
+        }
+    }
+}
+
+fn all(fleet: &mut fleet::Fleet) -> impl Iterator<Item = &mut fleet::process::Process> {
+    let nodes = fleet.nodes.iter_mut().map(|node| &mut node.process);
+    let controls = fleet
+        .controls
+        .iter_mut()
+        .map(|control| &mut control.process);
+    nodes.chain(controls)
+}
+
+async fn find(
+    fleet: &mut fleet::Fleet,
+    process: Process,
+) -> Result<&mut fleet::process::Process, error::Error> {
+    match process {
+        Process::Node(index) => Ok(&mut fleet.nodes[index].process),
+        Process::Control(index) => Ok(&mut fleet.controls[index].process),
+        Process::Leader => {
+            let status = fleet.operator.status().await?;
+            let leader = status.members.iter().find(|control| control.leads);
+            let id = leader.map(|control| control.member.id.0);
+            let mut controls = fleet.controls.iter_mut();
+            let found = controls.find(|control| Some(control.settings.id) == id);
+            found
+                .map(|control| &mut control.process)
+                .ok_or_else(|| error::Error::Missing("the leader".into()))
+        }
+    }
+}
+
+async fn change_targets(
+    nodes: &[fleet::handle::Node],
+    change: behaviour::Change,
+) -> Result<(), error::Error> {
+    for target in nodes.iter().filter_map(|node| node.target.as_ref()) {
+        target.change(change).await?;
+    }
+    Ok(())
+}
+
+async fn cut_peers(fleet: &fleet::Fleet, cut: proxy::fault::Cut) -> Result<(), error::Error> {
+    for proxy in fleet.nodes.iter().filter_map(|node| node.proxy.as_ref()) {
+        proxy.cut(cut).await?;
+    }
+    Ok(())
+}
+
+async fn fault_controls(fleet: &fleet::Fleet, fault: proxy::Fault) -> Result<(), error::Error> {
+    let proxies = fleet.controls.iter();
+    for proxy in proxies.filter_map(|control| control.proxy.as_ref()) {
+        proxy.apply(fault).await?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/load/src/experiment/measure.rs
@@ -0,0 +1,321 @@
+//! Measures of a run and their bounds.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::trial;
+use crate::generator::{check, record};
+
+/// Span over which goodput is averaged when recovery is looked for.
+const WINDOW: Duration = Duration::from_millis(500);
+/// Step of that span.
+const STEP: Duration = Duration::from_millis(100);
+
+/// What is measured. Clients are numbered from 0, times count from the start.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Measure {
+    /// 99th percentile of latency of a client above that of the baseline, ms.
+    AddedP99 {
+        /// The client.
+        client: usize,
+    },
+    /// Served requests per second in a span as a share of a capacity.
+    Goodput {
+        /// Start of the span.
+        from_ms: u64,
+        /// End of the span.
+        to_ms: u64,
+        /// Requests per second that count as 1.
+        capacity: f64,
+    },
+    /// Smallest share of served requests over some clients.
+    ServedShare {
+        /// The clients.
+        clients: Vec<usize>,
+    },
+    /// Share of the requests of some clients that were not served.
+    RefusedShare {
+        /// The clients.
+        clients: Vec<usize>,
+    },
+    /// Seconds from a moment until goodput is back at a share of its average
+    /// before another moment.
+    Recovery {
+        /// End of the span in which goodput was normal; it starts at 0.
+        normal_until_ms: u64,
+        /// Moment from which recovery counts.
+        from_ms: u64,
+        /// The share.
+        share: f64,
+    },
+    /// Served requests of a client per second in a span as a share of a rate.
+    ServedRate {
+        /// The client.
+        client: usize,
+        /// Start of the span.
+        from_ms: u64,
+        /// End of the span.
+        to_ms: u64,
+        /// Requests per second that count as 1.
+        rate: f64,
+    },
+    /// Seconds from a moment until the wanted share of the requests that are
+    /// due in a short span is served.
+    SuccessRecovery {
+        /// The moment.
+        from_ms: u64,
+        /// The share.
+        share: f64,
+    },
+    /// Served requests of a client above rate × t + burst in any window.
+    WindowExcess {
+        /// The client.
+        client: usize,
+        /// Requests per second.
+        rate: f64,
+        /// Requests at once.
+        burst: f64,
+    },
+    /// Largest number of executions of one root request above those of a call
+    /// tree without failures.
+    ExtraExecutions {
+        /// Executions in each service without failures.
+        normal: BTreeMap<String, u64>,
+    },
+    /// Request ids that were executed more than once in one service.
+    DuplicateExecutions,
+    /// Requests with an id that ran although every answer said "not run".
+    UntrueNotRun,
+    /// Requests that were sent, resends not counted.
+    Requests,
+    /// Processor time of the nodes for each served request above that of the
+    /// baseline, as a share of the latter.
+    AddedCost,
+}
+
+/// A limit on a measure.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Bound {
+    /// Smallest allowed value.
+    AtLeast(f64),
+    /// Largest allowed value.
+    AtMost(f64),
+}
+
+/// A measure with a name and a bound.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Bounded {
+    /// Name in the output.
+    pub name: String,
+    /// What is measured.
+    pub measure: Measure,
+    /// Its limit.
+    pub bound: Bound,
+}
+
+impl Bound {
+    /// Whether a value keeps the bound; a value that is not a number does not.
+    #[must_use]
+    pub fn holds(self, value: f64) -> bool {
+        match self {
+            Self::AtLeast(limit) => value >= limit,
+            Self::AtMost(limit) => value <= limit,
+        }
+    }
+}
+
+impl std::fmt::Display for Bound {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::AtLeast(limit) => write!(formatter, ">= {limit}"),
+            Self::AtMost(limit) => write!(formatter, "<= {limit}"),
+        }
+    }
+}
+
+impl Measure {
+    /// Makes the times of the measure longer.
+    pub fn lengthen(&mut self, factor: u64) {
+        match self {
+            Self::Goodput { from_ms, to_ms, .. } | Self::ServedRate { from_ms, to_ms, .. } => {
+                *from_ms *= factor;
+                *to_ms *= factor;
+            }
+            Self::Recovery {
+                normal_until_ms,
+                from_ms,
+                ..
+            } => {
+                *normal_until_ms *= factor;
+                *from_ms *= factor;
+            }
+            Self::SuccessRecovery { from_ms, .. } => *from_ms *= factor,
+            _ => {}
+        }
+    }
+
+    /// Takes the measure of a run; relative ones compare it with the baseline.
+    #[must_use]
+    pub fn take(&self, run: &trial::Trial, baseline: &trial::Trial) -> f64 {
+        let report = &run.report;
+        match self {
+            Self::AddedP99 { client } => p99_ms(run, *client) - p99_ms(baseline, *client),
+            Self::Goodput {
+                from_ms,
+                to_ms,
+                capacity,
+            } => report.goodput(milliseconds(*from_ms), milliseconds(*to_ms)) / capacity,
+            Self::ServedShare { clients } => clients
+                .iter()
+                .map(|client| report.served_share(*client))
+                .fold(f64::INFINITY, f64::min),
+            Self::RefusedShare { clients } => refused_share(run, clients),
+            Self::Recovery {
+                normal_until_ms,
+                from_ms,
+                share,
+            } => recovery(
+                run,
+                milliseconds(*normal_until_ms),
+                milliseconds(*from_ms),
+                *share,
+            ),
+            Self::ServedRate {
+                client,
+                from_ms,
+                to_ms,
+                rate,
+            } => served_rate(run, *client, milliseconds(*from_ms), milliseconds(*to_ms)) / rate,
+            Self::SuccessRecovery { from_ms, share } => {
+                success_recovery(run, milliseconds(*from_ms), *share)
+            }
+            Self::WindowExcess {
+                client,
+                rate,
+                burst,
+            } => {
+                let own = |record: &&record::Record| record.id.team == *client;
+                let records: Vec<_> = report.records.iter().filter(own).copied().collect();
+                check::window_excess(&records, *rate, *burst).max(0.0)
+            }
+            Self::ExtraExecutions { normal } => extra_executions(run, normal),
+            Self::DuplicateExecutions => duplicates(run),
+            Self::UntrueNotRun => untrue(run),
+            Self::Requests => number(report.requests().count()),
+            Self::AddedCost => cost(run) / cost(baseline) - 1.0,
+        }
+    }
+}
+
+const fn milliseconds(time: u64) -> Duration {
+    Duration::from_millis(time)
+}
+
+fn number(count: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
+
+fn whole(count: u64) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
+
+fn p99_ms(run: &trial::Trial, client: usize) -> f64 {
+    let microseconds = run.report.latencies_of(client).value_at_quantile(0.99);
+    whole(microseconds) / 1_000.0
+}
+
+fn refused_share(run: &trial::Trial, clients: &[usize]) -> f64 {
+    let requests = || run.report.requests();
+    let own = |record: &&record::Record| clients.contains(&record.id.team);
+    let total = requests().filter(own).count();
+    let served = requests()
+        .filter(own)
+        .filter(|record| record.is_served())
+        .count();
+    number(total - served) / number(total)
+}
+
+/// Seconds until goodput stays for one window at the wanted level; infinite if
+/// it never does before the load ends.
+fn recovery(run: &trial::Trial, normal: Duration, from: Duration, share: f64) -> f64 {
+    let wanted = run.report.goodput(Duration::ZERO, normal) * share;
+    let end = run.report.plan.duration();
+    let mut start = from;
+    while start + WINDOW <= end {
+        if run.report.goodput(start, start + WINDOW) >= wanted {
+            return start.saturating_sub(from).as_secs_f64();
+        }
+        start += STEP;
+    }
+    f64::INFINITY
+}
+
+fn served_rate(run: &trial::Trial, client: usize, from: Duration, to: Duration) -> f64 {
+    let inside =
+        |record: &&record::Record| record.is_served() && record.ended >= from && record.ended < to;
+    let served = run.report.of_team(client).filter(inside).count();
+    number(served) / to.saturating_sub(from).as_secs_f64()
+}
+
+/// As [`recovery`], for the share of requests that are served, by the moment at
+/// which they were due.
+fn success_recovery(run: &trial::Trial, from: Duration, share: f64) -> f64 {
+    let end = run.report.plan.duration();
+    let mut start = from;
+    while start + WINDOW <= end {
+        let due =
+            |record: &&record::Record| record.intended >= start && record.intended < start + WINDOW;
+        let total = run.report.requests().filter(due).count();
+        let served = run.report.requests().filter(due);
+        let served = served.filter(|record| record.is_served()).count();
+        if total > 0 && number(served) >= number(total) * share {
+            return start.saturating_sub(from).as_secs_f64();
+        }
+        start += STEP;
+    }
+    f64::INFINITY
+}
+
+fn extra_executions(run: &trial::Trial, normal: &BTreeMap<String, u64>) -> f64 {
+    let mut extra = BTreeMap::<&str, u64>::new();
+    for (service, executions) in &run.executions {
+        let allowed = normal.get(service).copied().unwrap_or(0);
+        for (id, count) in &executions.by_request_id {
+            *extra.entry(id).or_default() += count.saturating_sub(allowed);
+        }
+    }
+    whole(extra.into_values().max().unwrap_or(0))
+}
+
+fn duplicates(run: &trial::Trial) -> f64 {
+    let services = run.executions.values();
+    let counts = services.flat_map(|executions| executions.by_request_id.values());
+    number(counts.filter(|count| **count > 1).count())
+}
+
+fn untrue(run: &trial::Trial) -> f64 {
+    let services = run.executions.values();
+    let ran: BTreeSet<_> = services
+        .flat_map(|executions| executions.by_request_id.keys())
+        .collect();
+    let mut not_run = BTreeMap::<record::Id, bool>::new();
+    for record in &run.report.records {
+        let says = record.ran() == Some(record::Ran::No);
+        let all = not_run.entry(record.id).or_insert(true);
+        *all &= says;
+    }
+    let seed = run.report.plan.seed;
+    let lies = |id: &record::Id| ran.contains(&record::id_text(seed, *id));
+    let claimed = not_run.iter().filter(|(_, all)| **all);
+    number(claimed.filter(|(id, _)| lies(id)).count())
+}
+
+fn cost(run: &trial::Trial) -> f64 {
+    let served = run.report.requests().filter(|record| record.is_served());
+    run.node_seconds / number(served.count())
+}
--- /dev/null
+++ b/crates/load/src/experiment/run.rs
@@ -0,0 +1,139 @@
+//! Runs an experiment and its baseline.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use futures::future;
+
+use super::{action, outcome, plan, trial};
+use crate::{error, fleet, generator};
+
+/// Time for processes to become ready and the configuration to be in force.
+const LIMIT: Duration = Duration::from_secs(15);
+/// Time for rate shares and connections to settle before the load.
+const SETTLE: Duration = Duration::from_secs(1);
+/// Clock ticks per second in the processor times of Linux.
+const TICKS: f64 = 100.0;
+
+/// Runs the baseline, then the system, and compares them.
+///
+/// # Errors
+/// Any error of the fleet or the generator.
+pub async fn run(plan: &plan::Plan) -> Result<outcome::Outcome, error::Error> {
+    let baseline = trial(plan, Some(plan.baseline)).await?;
+    let system = trial(plan, None).await?;
+    let rows = plan.measures.iter().map(|bounded| outcome::Row {
+        bounded: bounded.clone(),
+        measured: bounded.measure.take(&system, &baseline),
+        baseline: bounded.measure.take(&baseline, &baseline),
+    });
+    Ok(outcome::Outcome {
+        experiment: plan.experiment,
+        seed: plan.seed,
+        rows: rows.collect(),
+    })
+}
+
+/// Runs the system, or the given baseline.
+async fn trial(
+    plan: &plan::Plan,
+    baseline: Option<plan::Baseline>,
+) -> Result<trial::Trial, error::Error> {
+    let decisions = baseline != Some(plan::Baseline::DecisionsOff);
+    let filler = baseline != Some(plan::Baseline::WithoutFiller);
+    let mut fleet = fleet::Fleet::start(&plan.spec(decisions))?;
+    fleet.ready(LIMIT).await?;
+    let built = plan.objects.build(plan.seed, filler);
+    let version = fleet.operator.replace(built.objects.set).await?;
+    let names = fleet.names();
+    fleet.operator.in_force(version, &names, LIMIT).await?;
+    fleet.targets_known(LIMIT).await?;
+    monoio::time::sleep(SETTLE).await;
+    let entries = if baseline == Some(plan::Baseline::Direct) {
+        direct(&fleet)?
+    } else {
+        fleet.callers()
+    };
+    let load = load(plan, entries, &built.keys);
+    let before = node_seconds(&fleet);
+    let (report, ()) =
+        future::try_join(generator::run(load), act(&plan.actions, &mut fleet)).await?;
+    let node_seconds = node_seconds(&fleet) - before;
+    Ok(trial::Trial {
+        report,
+        executions: executions(&fleet).await?,
+        node_seconds,
+    })
+}
+
+/// For each node the address of the target beside it, or of the first target.
+fn direct(fleet: &fleet::Fleet) -> Result<Vec<SocketAddr>, error::Error> {
+    let beside = |node: &fleet::handle::Node| {
+        let target = node.target.as_ref();
+        target.map(|target| target.settings().address)
+    };
+    let first = fleet.nodes.iter().find_map(beside);
+    let first = first.ok_or_else(|| error::Error::Missing("a target".into()))?;
+    let nodes = fleet.nodes.iter();
+    Ok(nodes.map(|node| beside(node).unwrap_or(first)).collect())
+}
+
+fn load(
+    plan: &plan::Plan,
+    entries: Vec<SocketAddr>,
+    keys: &BTreeMap<String, String>,
+) -> generator::Plan {
+    let teams = plan.clients.iter().map(|client| {
+        let mut team = client.load.clone();
+        team.key = client
+            .team
+            .as_ref()
+            .and_then(|name| keys.get(name).cloned());
+        team
+    });
+    generator::Plan::builder()
+        .entries(entries)
+        .seed(plan.seed)
+        .phases(plan.phases.clone())
+        .teams(teams.collect())
+        .timeout_ms(plan.timeout_ms)
+        .build()
+}
+
+/// Does the actions at their moments.
+async fn act(actions: &[action::Timed], fleet: &mut fleet::Fleet) -> Result<(), error::Error> {
+    let started = Instant::now();
+    for timed in actions {
+        let due = Duration::from_millis(timed.at_ms);
+        monoio::time::sleep(due.saturating_sub(started.elapsed())).await;
+        timed.action.apply(fleet).await?;
+    }
+    Ok(())
+}
+
+async fn executions(
+    fleet: &fleet::Fleet,
+) -> Result<BTreeMap<String, crate::standin::record::Executions>, error::Error> {
+    let mut sums = BTreeMap::new();
+    for target in fleet.nodes.iter().filter_map(|node| node.target.as_ref()) {
+        let executions = target.executions().await?;
+        trial::Trial::add(&mut sums, &target.settings().service, executions);
+    }
+    Ok(sums)
+}
+
+/// Processor time of all running nodes so far, in seconds.
+fn node_seconds(fleet: &fleet::Fleet) -> f64 {
+    let ids = fleet.nodes.iter().filter_map(|node| node.process.id());
+    ids.map(|id| process_seconds(id).unwrap_or(0.0)).sum()
+}
+
+/// User and system time of a process: fields 14 and 15 of its `stat` file,
+/// counted after the name in parentheses, which may contain spaces.
+fn process_seconds(id: u32) -> Option<f64> {
+    let text = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+    let fields: Vec<_> = text.rsplit_once(')')?.1.split_whitespace().collect();
+    let ticks = |index: usize| fields.get(index)?.parse::<f64>().ok();
+    Some((ticks(11)? + ticks(12)?) / TICKS)
+}
--- a/crates/load/src/fleet/process.rs
+++ b/crates/load/src/fleet/process.rs
@@ -113,6 +113,12 @@
         Err(error::Error::Timeout("a process to end".into()))
     }
 
+    /// Its process id while it runs.
+    #[must_use]
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Its log so far.
     ///
     /// # Errors
--- a/crates/load/src/generator/report.rs
+++ b/crates/load/src/generator/report.rs
@@ -37,18 +37,15 @@
     }
 
     /// Latencies of served requests in microseconds, from the intended moment.
-    ///
-    /// # Panics
-    /// Never: the bounds of the histogram are valid.
     #[must_use]
     pub fn latencies(&self) -> Histogram<u64> {
-        let mut histogram = Histogram::new_with_bounds(1, LONGEST_MICROSECONDS, 3)
-            .expect("the bounds of the histogram are valid");
-        for record in self.requests().filter(|record| record.is_served()) {
-            let microseconds = u64::try_from(record.latency().as_micros()).unwrap_or(u64::MAX);
-            histogram.saturating_record(microseconds);
-        }
-        histogram
+        histogram(self.requests())
+    }
+
+    /// The same for one team.
+    #[must_use]
+    pub fn latencies_of(&self, team: usize) -> Histogram<u64> {
+        histogram(self.of_team(team))
     }
 
     /// Share of the requests of one team that were served; 1 when it sent none.
@@ -88,6 +85,16 @@
     }
 }
 
+fn histogram<'a>(records: impl Iterator<Item = &'a record::Record>) -> Histogram<u64> {
+    let mut histogram = Histogram::new_with_bounds(1, LONGEST_MICROSECONDS, 3)
+        .expect("the bounds of the histogram are valid");
+    for record in records.filter(|record| record.is_served()) {
+        let microseconds = u64::try_from(record.latency().as_micros()).unwrap_or(u64::MAX);
+        histogram.saturating_record(microseconds);
+    }
+    histogram
+}
+
 /// The quotient of two counts.
 fn ratio(part: usize, whole: usize) -> f64 {
     let part = u32::try_from(part).unwrap_or(u32::MAX);
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -3,6 +3,7 @@
 //! runner of the experiments.
 
 pub mod error;
+pub mod experiment;
 pub mod fleet;
 pub mod generator;
 pub mod http;
