--- a/crates/agreement/src/leader.rs
+++ b/crates/agreement/src/leader.rs
@@ -161,6 +161,7 @@
 
 impl Sender<'_> {
     fn serve(&mut self, member: &mut progress::Progress) {
+        self.end_outdated_transfer(member);
         if self.log.term_at(member.next.previous()).is_none() {
             self.start_transfer(member);
         }
@@ -207,11 +208,20 @@
         self.send(member.id, body);
     }
 
+    /// Ends the transfer of a snapshot that has been replaced by a newer one. The
+    /// member may have caught up with the log in the meantime.
+    fn end_outdated_transfer(&self, member: &mut progress::Progress) {
+        let newest = self.log.snapshot().meta.position.index;
+        let outdated =
+            matches!(member.mode, progress::Mode::Transfer { index, .. } if index != newest);
+        if outdated {
+            member.mode = progress::Mode::Probe { waiting: false };
+        }
+    }
+
     fn start_transfer(&mut self, member: &mut progress::Progress) {
         let index = self.log.snapshot().meta.position.index;
-        let current =
-            matches!(member.mode, progress::Mode::Transfer { index: of, .. } if of == index);
-        if !current {
+        if !matches!(member.mode, progress::Mode::Transfer { .. }) {
             member.mode = progress::Mode::Transfer {
                 index,
                 received: 0,
--- a/crates/agreement/tests/rules.rs
+++ b/crates/agreement/tests/rules.rs
@@ -39,6 +39,11 @@
 
 /// A member of a group of three in term 3, with one entry each of terms 1 and 2.
 fn member_of_three() -> Member {
+    member_with(options::Options::default())
+}
+
+/// The same with other settings.
+fn member_with(options: options::Options) -> Member {
     let voter = |id| member::Member {
         id,
         address: ([127, 0, 0, 1], 1).into(),
@@ -53,7 +58,7 @@
         snapshot: snapshot::Snapshot::initial(membership::Membership::new(members)),
         entries: vec![entry(1, 1), entry(2, 2)],
     };
-    agreement::Agreement::new(OWN, options::Options::default(), recovered, Shortest, START)
+    agreement::Agreement::new(OWN, options, recovered, Shortest, START)
 }
 
 fn receive(member: &mut Member, from: member::Id, term: u64, body: message::Body) {
@@ -90,7 +95,10 @@
 
 /// A member that leads in term 4 and has its first entry at index 3.
 fn leader_of_three() -> Member {
-    let mut member = member_of_three();
+    leader_from(member_of_three())
+}
+
+fn leader_from(mut member: Member) -> Member {
     member.tick(ELECTED);
     let asked = term::Term(4);
     let granted = true;
@@ -257,6 +265,43 @@
     assert_eq!(replies(later), [appended(9)]);
 }
 
+// Guards against a transfer that never ends because the leader took a newer
+// snapshot (found by seed 829 of the group of three).
+#[test]
+fn transfer_of_a_replaced_snapshot_gives_way_to_the_log() {
+    let options = options::Options::builder().retained(2).build();
+    let mut leader = leader_from(member_with(options));
+    let (previous, last) = (index::Index(2), index::Index(0));
+    receive(
+        &mut leader,
+        RIGHT,
+        4,
+        message::Body::Rejected { previous, last },
+    );
+    for index in 3..=5 {
+        if index > 3 {
+            leader.propose(Vec::new()).unwrap();
+            persist(&mut leader);
+        }
+        receive(&mut leader, LEFT, 4, appended(index));
+        leader.effects();
+        assert!(leader.compact(index::Index(index), b"state"));
+        if index == 4 {
+            persist(&mut leader);
+            receive(&mut leader, RIGHT, 4, appended(3));
+        }
+    }
+
+    let messages = leader.effects().messages;
+
+    let mut bodies = messages.iter().filter(|message| message.to == RIGHT);
+    let found = bodies.find_map(|message| match &message.body {
+        message::Body::Append { previous, .. } => Some(previous.index),
+        _ => None,
+    });
+    assert_eq!(found, Some(index::Index(3)));
+}
+
 // Guards against two votes in a term, of which the first was lost in a crash.
 #[test]
 fn vote_is_sent_only_when_durable_and_once_a_term() {
