Lose a second disk only after the first is replaced for good

The simulation took a replacement for finished by a membership that was in the leader's log but not committed, and destroyed the next disk; no majority was left, which no protocol survives.

Change: the simulation reads the newest committed membership.

--- a/crates/agreement/tests/support/ledger.rs
+++ b/crates/agreement/tests/support/ledger.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use masticarch_agreement::{entry, index, payload, recovered, snapshot, term};
+use masticarch_agreement::{entry, index, membership, payload, recovered, snapshot, term};
 use masticarch_model::member;
 
 /// All committed entries and elected leaders of a run.
@@ -21,6 +21,16 @@
         self.leaders.keys().last().map_or(0, |term| term.0)
     }
 
+    /// The newest membership that is committed; empty before the first change.
+    pub fn membership(&self) -> membership::Membership {
+        let mut entries = self.committed.values().rev();
+        let newest = entries.find_map(|entry| match &entry.payload {
+            payload::Payload::Members(membership) => Some(membership.clone()),
+            _ => None,
+        });
+        newest.unwrap_or_default()
+    }
+
     /// Election safety: a term has one leader.
     pub fn elected(&mut self, term: term::Term, id: member::Id) {
         let first = *self.leaders.entry(term).or_insert(id);
--- a/crates/agreement/tests/support/member.rs
+++ b/crates/agreement/tests/support/member.rs
@@ -61,14 +61,6 @@
         status.map_or(term::Term(0), |status| status.term)
     }
 
-    pub fn membership(&self) -> membership::Membership {
-        let membership = self
-            .agreement
-            .as_ref()
-            .map(agreement::Agreement::membership);
-        membership.cloned().unwrap_or_default()
-    }
-
     pub fn state(&self) -> (index::Index, Vec<u8>) {
         (self.applied, self.state.clone())
     }
--- a/crates/agreement/tests/support/mod.rs
+++ b/crates/agreement/tests/support/mod.rs
@@ -346,15 +346,15 @@
         });
     }
 
-    /// Whether the last replacement is committed.
+    /// Whether the last replacement is committed. A second disk may be lost only
+    /// after that, or a majority of the voters could be gone for good.
     pub fn repaired(&self) -> bool {
-        let Some(leader) = self.leader() else {
-            return false;
+        let Some(leaving) = self.leaving else {
+            return true;
         };
-        let membership = self.members[&leader].membership();
         let newest = model::Id(self.next_id - 1);
-        let left = self.leaving.is_none_or(|id| membership.find(id).is_none());
-        left && membership.is_voter(newest)
+        let membership = self.ledger.membership();
+        membership.find(leaving).is_none() && membership.is_voter(newest)
     }
 
     fn inject(&mut self) {
