Test a member whose disk fails

Cause: nothing showed that the agreement service stops when a write fails.

Change: a test removes the data directory of a follower, stops the leader, and checks that the follower reports storage_failed and that its vote is not sent.

Conclusion: a failing disk is reported; one that hangs is not covered.

--- a/crates/control/tests/agreement.rs
+++ b/crates/control/tests/agreement.rs
@@ -151,6 +151,35 @@
     assert_eq!(voters[2].member.id, member::Id(4));
 }
 
+// Guards against a member that votes or leads although its disk fails.
+#[test]
+fn member_with_a_failing_disk_stops_taking_part() {
+    let (answer, others) = runtime::run(async {
+        let mut group = Group::of_three();
+        let leader = group.leader().await;
+        let failing = *group.members.keys().find(|id| **id != leader).unwrap();
+
+        std::fs::remove_dir_all(group.options(failing.0).data).unwrap();
+        group.stop(leader).await;
+        let mut answer = Ok(());
+        for _ in 0..100 {
+            monoio::time::sleep(Duration::from_millis(50)).await;
+            answer = group.members[&failing].confirm().await;
+            if answer == Err(code::Code::StorageFailed) {
+                break;
+            }
+        }
+        let other = group.members.keys().find(|id| **id != failing).unwrap();
+        let others = group.members[other].confirm().await;
+
+        (answer, others)
+    })
+    .unwrap();
+
+    assert_eq!(answer, Err(code::Code::StorageFailed));
+    assert_eq!(others, Err(code::Code::NotLeader), "a vote was not durable");
+}
+
 // Guards against a member that starts with an empty or a foreign disk and votes
 // again in terms in which it has voted.
 #[test]
--- a/crates/control/tests/group/mod.rs
+++ b/crates/control/tests/group/mod.rs
@@ -126,14 +126,6 @@
             }
             monoio::time::sleep(Duration::from_millis(25)).await;
         }
-        for (id, member) in &self.members {
-            let (index, commands) = {
-                let state = member.state.borrow();
-                (state.index, state.commands.len())
-            };
-            let status = member.status().await;
-            eprintln!("{id:?}: {commands} bytes at {index}, {status:?}");
-        }
         panic!("members differ after 5 s");
     }
 }
