Step down when the leader's disk hangs

Cause: a leader hands out committed entries only when they are durable locally, so a disk that hangs without an error kept it the leader of a group that acknowledged nothing.

Change: a leader whose disk finishes no write for 2 s steps down. It cannot win an election before a write succeeds.

--- a/crates/agreement/src/agreement/leading.rs
+++ b/crates/agreement/src/agreement/leading.rs
@@ -6,13 +6,15 @@
 use crate::{entry, index, leader, message, payload, position, random, refusal, stage, ticket};
 
 impl<R: random::Random> Agreement<R> {
-    /// Sends heartbeats, and steps down when no majority was heard from.
+    /// Sends heartbeats, and steps down when no majority was heard from or the
+    /// disk has stalled.
     pub(super) fn tick_leader(&mut self) {
         let limit = self.options.election_max;
+        let stalled = self.outbox.is_stalled(self.now, self.options.write_limit);
         let stage::Stage::Leader(leader) = &mut self.stage else {
             return;
         };
-        if !leader.has_majority(self.log.membership(), self.now, limit) {
+        if stalled || !leader.has_majority(self.log.membership(), self.now, limit) {
             self.become_follower(None);
             return;
         }
--- a/crates/agreement/src/agreement/mod.rs
+++ b/crates/agreement/src/agreement/mod.rs
@@ -172,7 +172,7 @@
 
     /// Takes the report that all writes up to a number are durable.
     pub fn persisted(&mut self, sequence: sequence::Sequence) {
-        for deferred in self.outbox.persisted(sequence) {
+        for deferred in self.outbox.persisted(sequence, self.now) {
             match deferred {
                 outbox::Deferred::Send(message) => self.outbox.send(message),
                 outbox::Deferred::Durable(index) => self.log.persisted(index),
@@ -354,7 +354,7 @@
     }
 
     fn take_write(&mut self) -> Option<write::Write> {
-        let sequence = self.outbox.issue()?;
+        let sequence = self.outbox.issue(self.now)?;
         let entries = self.log.take_unwritten();
         if let Some(last) = entries.last() {
             let durable = outbox::Deferred::Durable(last.position.index);
--- a/crates/agreement/src/options.rs
+++ b/crates/agreement/src/options.rs
@@ -18,6 +18,10 @@
     /// Interval of a leader's heartbeats.
     #[builder(default = Duration::from_millis(75))]
     pub heartbeat: Duration,
+    /// A leader whose disk finishes no write for this long steps down: it could
+    /// hand out nothing, and cannot win an election before a write succeeds.
+    #[builder(default = Duration::from_secs(2))]
+    pub write_limit: Duration,
     /// Largest size of the entries in one message, in bytes; a single larger
     /// entry is sent alone.
     #[builder(default = 1 << 20)]
--- a/crates/agreement/src/outbox.rs
+++ b/crates/agreement/src/outbox.rs
@@ -1,6 +1,7 @@
 //! What waits for writes.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use crate::{index, message, sequence, snapshot, term};
 
@@ -30,6 +31,8 @@
     issued: sequence::Sequence,
     persisted: sequence::Sequence,
     dirty: bool,
+    /// When the disk last made progress while writes are under way.
+    since: Option<Duration>,
     held: VecDeque<Held>,
     ready: Vec<message::Message>,
 }
@@ -70,22 +73,30 @@
     }
 
     /// Numbers the next write, if there is something to write.
-    pub fn issue(&mut self) -> Option<sequence::Sequence> {
+    pub fn issue(&mut self, now: Duration) -> Option<sequence::Sequence> {
         if !std::mem::take(&mut self.dirty) {
             return None;
         }
         self.issued = self.issued.next();
+        self.since.get_or_insert(now);
         Some(self.issued)
     }
 
     /// Takes a report that all writes up to a number are durable, and releases
     /// what waited for them.
-    pub fn persisted(&mut self, sequence: sequence::Sequence) -> Vec<Deferred> {
+    pub fn persisted(&mut self, sequence: sequence::Sequence, now: Duration) -> Vec<Deferred> {
         self.persisted = self.persisted.max(sequence);
+        self.since = (self.persisted < self.issued).then_some(now);
         let due = self.held.partition_point(|held| held.wait <= sequence);
         self.held.drain(..due).map(|held| held.deferred).collect()
     }
 
+    /// Whether the disk has finished no write for longer than `limit`.
+    pub fn is_stalled(&self, now: Duration, limit: Duration) -> bool {
+        let waited = self.since.map(|since| now.saturating_sub(since));
+        waited.is_some_and(|waited| waited > limit)
+    }
+
     /// Takes the messages that may be sent.
     pub fn take_ready(&mut self) -> Vec<message::Message> {
         std::mem::take(&mut self.ready)
--- a/crates/agreement/tests/rules.rs
+++ b/crates/agreement/tests/rules.rs
@@ -302,6 +302,31 @@
     assert_eq!(found, Some(index::Index(3)));
 }
 
+// Guards against a leader with a disk that hangs: it would keep the others from
+// electing one that can acknowledge.
+#[test]
+fn leader_steps_down_when_its_disk_hangs() {
+    let mut leader = leader_of_three();
+    leader.tick(ELECTED);
+    leader.propose(Vec::new()).unwrap();
+    leader.effects();
+
+    let mut roles = Vec::new();
+    for milliseconds in [500, 1000, 1500, 2000, 2001] {
+        leader.tick(ELECTED + Duration::from_millis(milliseconds));
+        roles.push(leader.status().role);
+        receive(
+            &mut leader,
+            LEFT,
+            4,
+            message::Body::HeartbeatReply { round: 1 },
+        );
+    }
+
+    assert_eq!(roles[..4], [role::Role::Leader; 4]);
+    assert_eq!(roles[4], role::Role::Follower);
+}
+
 // Guards against two votes in a term, of which the first was lost in a crash.
 #[test]
 fn vote_is_sent_only_when_durable_and_once_a_term() {
