--- a/crates/node/src/caller/handler.rs
+++ b/crates/node/src/caller/handler.rs
@@ -58,7 +58,7 @@
         let admission = match services.gate.ask(begin).await {
             Ok(Ok(admission)) => admission,
             Ok(Err(refusal)) => return Err(known(refusal)),
-            Err(_) => return Err(known(draining())),
+            Err(_) => return Err(known(refusal::Refusal::draining())),
         };
         let parent = loan.as_ref().map(|loan| loan.parent);
         let flight = flight::Flight::new(services, admission.request, parent);
@@ -120,7 +120,7 @@
         match services.gate.ask(ask).await {
             Ok(Some(choice)) => admission.choice = choice,
             Ok(None) => return Err(no_credit()),
-            Err(_) => return Err(draining()),
+            Err(_) => return Err(refusal::Refusal::draining()),
         }
         Ok(())
     }
@@ -215,10 +215,6 @@
     }
 }
 
-fn draining() -> refusal::Refusal {
-    refusal::Refusal::new(code::Code::Draining, "the node is shutting down")
-}
-
 fn no_credit() -> refusal::Refusal {
     refusal::Refusal::new(
         code::Code::RetryBudget,
--- a/crates/node/src/peer/exchange.rs
+++ b/crates/node/src/peer/exchange.rs
@@ -56,10 +56,7 @@
 ) -> Result<answer::Answer, refusal::Refusal> {
     let checkout = |slot| links::Message::Checkout(address, slot);
     let Ok(ticket) = services.links.ask(checkout).await else {
-        return Err(refusal::Refusal::new(
-            code::Code::Draining,
-            "the node is shutting down",
-        ));
+        return Err(refusal::Refusal::draining());
     };
     let mut connection = match ticket.connection {
         Some(connection) => connection,
@@ -70,7 +67,7 @@
     };
     let exchange = connection.exchange(request, space);
     let answer = match race::race(exchange, ticket.silent.wait()).await {
-        Either::Left(answer) => answer.map_err(|failure| failed(&failure))?,
+        Either::Left(answer) => answer.map_err(|failure| refusal::Refusal::from(&failure))?,
         Either::Right(()) => return Err(silent_node()),
     };
     if answer.keep_alive {
@@ -96,16 +93,3 @@
         "the connections to the target's node have gone silent",
     )
 }
-
-fn failed(failure: &connection::Failure) -> refusal::Refusal {
-    let code = failure.fault.answer_code();
-    let ran = if failure.sent {
-        code.ran()
-    } else {
-        ran::Ran::No
-    };
-    refusal::Refusal {
-        ran,
-        ..refusal::Refusal::new(code, failure.fault.to_string())
-    }
-}
--- a/crates/node/src/refusal.rs
+++ b/crates/node/src/refusal.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use masticarch_model::{code, ran};
+use masticarch_wire::http::connection;
 
 /// Why a request is not answered by a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -29,4 +30,24 @@
             retry_after: None,
         }
     }
+
+    /// The refusal of a node whose services have stopped.
+    #[must_use]
+    pub fn draining() -> Self {
+        Self::new(code::Code::Draining, "the node is shutting down")
+    }
+}
+
+impl From<&connection::Failure> for Refusal {
+    fn from(failure: &connection::Failure) -> Self {
+        let code = failure.fault.answer_code();
+        Self {
+            ran: if failure.sent {
+                code.ran()
+            } else {
+                ran::Ran::No
+            },
+            ..Self::new(code, failure.fault.to_string())
+        }
+    }
 }
--- a/crates/node/src/target/run.rs
+++ b/crates/node/src/target/run.rs
@@ -26,7 +26,7 @@
                 summary: Some(summary),
             };
         }
-        Err(_) => return job::Outcome::refused(draining()),
+        Err(_) => return job::Outcome::refused(refusal::Refusal::draining()),
     };
     services.metrics.queued(entered.elapsed());
     admitted(services, job, permit).await
@@ -64,7 +64,7 @@
     };
     call.sending();
     let exchanged = connection.exchange(request, &services.answer_space()).await;
-    let mut answer = exchanged.map_err(|failure| failed(&failure))?;
+    let mut answer = exchanged.map_err(|failure| refusal::Refusal::from(&failure))?;
     if answer.keep_alive {
         slot.connection = Some(connection);
         let message = message::Message::Checkin(address, slot);
@@ -86,7 +86,7 @@
             code::Code::Overloaded,
             "every connection that the target accepts is in use",
         )),
-        Err(_) => Err(draining()),
+        Err(_) => Err(refusal::Refusal::draining()),
     }
 }
 
@@ -100,19 +100,6 @@
         })
 }
 
-fn failed(failure: &connection::Failure) -> refusal::Refusal {
-    let code = failure.fault.answer_code();
-    let ran = if failure.sent {
-        code.ran()
-    } else {
-        ran::Ran::No
-    };
-    refusal::Refusal {
-        ran,
-        ..refusal::Refusal::new(code, failure.fault.to_string())
-    }
-}
-
 fn late(call: &call::Call) -> refusal::Refusal {
     match call.cancelled() {
         admission::End::NotRun => refusal::Refusal::new(
@@ -125,7 +112,3 @@
         ),
     }
 }
-
-fn draining() -> refusal::Refusal {
-    refusal::Refusal::new(code::Code::Draining, "the node is shutting down")
-}
