Share the services' addresses, and give back credit of refused sub-calls

Cause: each request copied eleven addresses, each with an allocation; a sub-call that the gate refused kept the credit that its parent had lent. Change: tasks share the addresses through a reference count, and a refused sub-call returns its credit with no execution.

--- a/crates/node/src/admin/handler.rs
+++ b/crates/node/src/admin/handler.rs
@@ -1,5 +1,6 @@
 //! Answers requests on the admin port.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use http::{HeaderValue, Method, StatusCode, header};
@@ -18,13 +19,13 @@
 
 /// Answers the requests on one connection.
 pub struct Handler {
-    services: services::Services,
+    services: Rc<services::Services>,
 }
 
 impl Handler {
     /// A handler for one connection.
     #[must_use]
-    pub const fn new(services: services::Services) -> Self {
+    pub const fn new(services: Rc<services::Services>) -> Self {
         Self { services }
     }
 
--- a/crates/node/src/admin/service.rs
+++ b/crates/node/src/admin/service.rs
@@ -1,5 +1,7 @@
 //! The listener for operators' tools and local targets.
 
+use std::rc::Rc;
+
 use masticarch_kernel::stop;
 use monoio::net::TcpListener;
 
@@ -10,7 +12,7 @@
 const MAX_BODY: usize = 4096;
 
 /// Accepts connections until asked to stop.
-pub async fn run(listener: TcpListener, services: services::Services, stop: stop::Stop) {
+pub async fn run(listener: TcpListener, services: Rc<services::Services>, stop: stop::Stop) {
     // Requests of operators' tools hold up no shutdown.
     let context = session::Context {
         space: services.space(MAX_BODY),
--- a/crates/node/src/caller/flight.rs
+++ b/crates/node/src/caller/flight.rs
@@ -1,5 +1,6 @@
 //! A request in flight, ended by message whatever becomes of its task.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use masticarch_kernel::task;
@@ -14,7 +15,7 @@
 /// A request in flight. When its task is dropped, because the caller went away,
 /// the gate, the ledger and the parent call are told all the same.
 pub struct Flight {
-    services: services::Services,
+    services: Rc<services::Services>,
     state: Option<State>,
     attempting: bool,
 }
@@ -29,7 +30,7 @@
     /// Takes over a request that the gate has begun.
     #[must_use]
     pub fn new(
-        services: services::Services,
+        services: Rc<services::Services>,
         request: key::RequestKey,
         parent: Option<call::CallKey>,
     ) -> Self {
@@ -89,7 +90,7 @@
     }
 }
 
-async fn end(services: services::Services, state: State, report: Option<report::Report>) {
+async fn end(services: Rc<services::Services>, state: State, report: Option<report::Report>) {
     let end = |slot| message::Message::End(state.request, report, Some(slot));
     let Ok(total) = services.gate.ask(end).await else {
         return;
--- a/crates/node/src/caller/handler.rs
+++ b/crates/node/src/caller/handler.rs
@@ -1,5 +1,6 @@
 //! Takes the requests of one connection through the fleet.
 
+use std::rc::Rc;
 use std::time::Instant;
 
 use futures::future::{self, Either};
@@ -8,8 +9,9 @@
 use masticarch_wire::http::{answer, fault, fields, request};
 
 use super::{attempt, claim, encode, flight, intake, ledger};
+use crate::admission::message as parent;
 use crate::claims::hold;
-use crate::gate::{admission, choice, message};
+use crate::gate::{admission, choice, message, report, request as gate};
 use crate::target::job;
 use crate::{origin, race, refusal, services, session};
 
@@ -18,7 +20,7 @@
 
 /// Takes the requests of one connection through the fleet.
 pub struct Handler {
-    services: services::Services,
+    services: Rc<services::Services>,
     connection: u32,
     requests: u32,
 }
@@ -32,7 +34,7 @@
 impl Handler {
     /// A handler for the connection with this number.
     #[must_use]
-    pub const fn new(services: services::Services, connection: u32) -> Self {
+    pub const fn new(services: Rc<services::Services>, connection: u32) -> Self {
         Self {
             services,
             connection,
@@ -43,34 +45,31 @@
     async fn begin(&mut self, mut request: request::Request) -> Result<answer::Answer, Refused> {
         let id = fields::text(&request.headers, header::REQUEST_ID).unwrap_or(NO_ID);
         let id: Box<str> = id.into();
-        let known = |refusal| Refused { refusal, id };
-        let services = self.services.clone();
+        let services = Rc::clone(&self.services);
         let intake = match intake::read(&services, &mut request).await {
             Ok(intake) => intake,
-            Err(refusal) => return Err(known(refusal)),
+            Err(refusal) => return Err(Refused { refusal, id }),
         };
         let loan = match &intake.request.origin {
             origin::Origin::SubCall(loan) => Some(loan.clone()),
             origin::Origin::Caller(_) => None,
         };
-        let asked = Box::new(intake.request);
-        let begin = |slot| message::Message::Begin(asked, slot);
-        let admission = match services.gate.ask(begin).await {
-            Ok(Ok(admission)) => admission,
-            Ok(Err(refusal)) => return Err(known(refusal)),
-            Err(_) => return Err(known(refusal::Refusal::draining())),
+        let admission = match admit(&services, intake.request).await {
+            Ok(admission) => admission,
+            Err(refusal) => {
+                give_back(&services, loan).await;
+                return Err(Refused { refusal, id });
+            }
         };
         let parent = loan.as_ref().map(|loan| loan.parent);
         let flight = flight::Flight::new(services, admission.request, parent);
         let root = admission.root.clone();
         let run = Box::pin(self.run(flight, admission, request, intake.idempotency_key));
-        match race::race(run, ended(loan)).await {
-            Either::Left(result) => result.map_err(|refusal| Refused { refusal, id: root }),
-            Either::Right(()) => Err(Refused {
-                refusal: parent_ended(),
-                id: root,
-            }),
-        }
+        let result = match race::race(run, ended(loan)).await {
+            Either::Left(result) => result,
+            Either::Right(()) => Err(parent_ended()),
+        };
+        result.map_err(|refusal| Refused { refusal, id: root })
     }
 
     async fn run(
@@ -163,7 +162,7 @@
         &self,
         admission: &admission::Admission,
         outcome: &job::Outcome,
-        report: crate::gate::report::Report,
+        report: report::Report,
     ) -> Option<choice::Choice> {
         let refusal = outcome.result.as_ref().err()?;
         let ask = |slot| message::Message::Next(admission.request, report, slot);
@@ -195,6 +194,25 @@
     }
 }
 
+/// Asks the gate about a new request.
+async fn admit(
+    services: &services::Services,
+    request: gate::Request,
+) -> Result<admission::Admission, refusal::Refusal> {
+    let request = Box::new(request);
+    let begin = |slot| message::Message::Begin(request, slot);
+    let answer = services.gate.ask(begin).await;
+    answer.unwrap_or_else(|_| Err(refusal::Refusal::draining()))
+}
+
+/// Gives back the credit that was lent to a sub-call which did not begin.
+async fn give_back(services: &services::Services, loan: Option<origin::Loan>) {
+    if let Some(loan) = loan {
+        let back = parent::Message::Return(loan.parent, loan.credit, Some(0));
+        let _ = services.admission.send(back).await;
+    }
+}
+
 fn settle(hold: Option<hold::Hold>, outcome: &job::Outcome) {
     if let Some(hold) = hold {
         hold.settle(&outcome.result);
--- a/crates/node/src/caller/service.rs
+++ b/crates/node/src/caller/service.rs
@@ -1,5 +1,7 @@
 //! The listener for callers.
 
+use std::rc::Rc;
+
 use masticarch_kernel::stop;
 use monoio::net::TcpListener;
 
@@ -7,7 +9,7 @@
 use crate::{listener, name, services, session};
 
 /// Accepts callers until asked to stop; idle connections close then.
-pub async fn run(listener: TcpListener, services: services::Services, stop: stop::Stop) {
+pub async fn run(listener: TcpListener, services: Rc<services::Services>, stop: stop::Stop) {
     let context = services.session(&stop);
     listener::run(name::CALLER, listener, stop, move |number, stream| {
         let open = services.metrics.opened("caller");
--- a/crates/node/src/peer/handler.rs
+++ b/crates/node/src/peer/handler.rs
@@ -1,5 +1,6 @@
 //! Answers the requests of other nodes.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use http::StatusCode;
@@ -17,13 +18,13 @@
 
 /// Answers the requests on one connection of another node.
 pub struct Handler {
-    services: services::Services,
+    services: Rc<services::Services>,
 }
 
 impl Handler {
     /// A handler for one connection.
     #[must_use]
-    pub const fn new(services: services::Services) -> Self {
+    pub const fn new(services: Rc<services::Services>) -> Self {
         Self { services }
     }
 
--- a/crates/node/src/peer/service.rs
+++ b/crates/node/src/peer/service.rs
@@ -1,5 +1,7 @@
 //! The listener for other nodes.
 
+use std::rc::Rc;
+
 use masticarch_kernel::stop;
 use masticarch_wire::handshake;
 use monoio::net::{TcpListener, TcpStream};
@@ -8,7 +10,7 @@
 use crate::{listener, name, services, session};
 
 /// Accepts other nodes until asked to stop; idle connections close then.
-pub async fn run(listener: TcpListener, services: services::Services, stop: stop::Stop) {
+pub async fn run(listener: TcpListener, services: Rc<services::Services>, stop: stop::Stop) {
     let context = services.session(&stop);
     listener::run(name::PEER, listener, stop, move |_, stream| {
         let open = services.metrics.opened("peer");
@@ -24,7 +26,7 @@
 
 /// Serves one connection after the other side has proved membership. Anything
 /// else on the port closes its connection without an answer.
-async fn serve(mut stream: TcpStream, services: services::Services, context: session::Context) {
+async fn serve(mut stream: TcpStream, services: Rc<services::Services>, context: session::Context) {
     let credentials = std::slice::from_ref(&services.options.credential);
     let accepted = handshake::accept(&mut stream, handshake::Role::Peer, credentials).await;
     if accepted.is_ok() {
--- a/crates/node/src/role.rs
+++ b/crates/node/src/role.rs
@@ -50,6 +50,7 @@
     let incarnation = incarnation::Incarnation(fastrand::u64(1..));
     let metrics = metrics::Metrics::new()?;
     let services = services::Services::new(kernel.registry(), options, incarnation, metrics)?;
+    let services = Rc::new(services);
     start_state(&mut kernel, mailboxes, &services);
     start_ports(&mut kernel, listeners, &services);
     stop.wait().await;
@@ -111,7 +112,11 @@
 }
 
 /// Starts the services that accept connections; they stop first.
-fn start_ports(kernel: &mut kernel::Kernel, listeners: Listeners, services: &services::Services) {
+fn start_ports(
+    kernel: &mut kernel::Kernel,
+    listeners: Listeners,
+    services: &Rc<services::Services>,
+) {
     kernel.start(name::ADMIN, |stop| {
         admin::service::run(listeners.admin, services.clone(), stop)
     });
