Notice callers that vanished without closing

Cause: an accepted connection whose other side had lost its power stayed open, and its request ran on, until something was written. Change: accepted connections have keepalive. No run shows its effect yet: the tests have no way to drop packets.

--- a/crates/node/src/listener.rs
+++ b/crates/node/src/listener.rs
@@ -10,6 +10,13 @@
 
 /// Pause after a failed accept, for example when no descriptor is left.
 const PAUSE: Duration = Duration::from_millis(50);
+/// Idle time before the first keepalive probe. A caller that vanished without
+/// closing is noticed, and its request cancelled, after this time and the probes.
+const KEEPALIVE: Duration = Duration::from_secs(30);
+/// Time between probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
+/// Probes without an answer after which the connection is closed.
+const KEEPALIVE_PROBES: u32 = 3;
 /// Connections that wait to be accepted.
 const BACKLOG: i32 = 1024;
 
@@ -22,6 +29,16 @@
     TcpListener::bind_with_config(address, &options)
 }
 
+/// Sets the options of an accepted connection.
+fn prepare(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    stream.set_tcp_keepalive(
+        Some(KEEPALIVE),
+        Some(KEEPALIVE_INTERVAL),
+        Some(KEEPALIVE_PROBES),
+    )
+}
+
 /// Accepts connections until asked to stop. `serve` makes the task of one
 /// connection from its number and stream; a panic ends only that task.
 pub async fn run<F>(
@@ -44,7 +61,7 @@
                 continue;
             }
         };
-        if stream.set_nodelay(true).is_ok() {
+        if prepare(&stream).is_ok() {
             number = number.wrapping_add(1);
             drop(task::spawn(service, serve(number, stream)));
         }
