Show the end of the log when a process does not become ready

The directory of a fleet is removed with it, so a failed start left nothing to read. The error now carries the last 20 lines of the process.

--- a/crates/load/src/fleet/handle.rs
+++ b/crates/load/src/fleet/handle.rs
@@ -17,6 +17,9 @@
 /// Secret of the operator credential.
 const OPERATOR_SECRET: &str = "secret of a loopback test operator";
 
+/// Lines of a log that a failed start shows.
+const LOG_LINES: usize = 20;
+
 /// A control process.
 pub struct Control {
     /// The process.
@@ -87,10 +90,10 @@
     /// [`error::Error::Timeout`] when one is not ready after the limit.
     pub async fn ready(&self, limit: Duration) -> Result<(), error::Error> {
         for control in &self.controls {
-            ready::wait(control.settings.admin, limit).await?;
+            wait_ready(control.settings.admin, &control.process, limit).await?;
         }
         for node in &self.nodes {
-            ready::wait(node.settings.admin, limit).await?;
+            wait_ready(node.settings.admin, &node.process, limit).await?;
         }
         Ok(())
     }
@@ -137,6 +140,24 @@
     }
 }
 
+/// Waits for one process; a failure shows the end of its log, because the log
+/// itself is removed with the fleet.
+async fn wait_ready(
+    admin: SocketAddr,
+    process: &process::Process,
+    limit: Duration,
+) -> Result<(), error::Error> {
+    let Err(failure) = ready::wait(admin, limit).await else {
+        return Ok(());
+    };
+    let log = process.log().unwrap_or_default();
+    let lines: Vec<_> = log.lines().collect();
+    let tail = lines[lines.len().saturating_sub(LOG_LINES)..].join("\n");
+    Err(error::Error::Timeout(format!(
+        "{failure}; the log ends with:\n{tail}"
+    )))
+}
+
 impl Control {
     /// Address under which others reach its member port.
     fn reached(&self) -> SocketAddr {
