Test the operators' tool and the processes with real fleets

Cause: the tool was tested without a fleet, and nothing held that the daemon uses epoll, starts no process and logs no secret.

Change: tests that set a fleet up with the tool, check exit codes and the text of refusals, and lose control processes under it; tests on open descriptors, child processes, logs and SIGTERM.

--- a/crates/testsuite/src/daemon.rs
+++ b/crates/testsuite/src/daemon.rs
@@ -1,4 +1,4 @@
-//! Builds the daemon before the first fleet starts.
+//! Builds the daemon and the operators' tool before the first fleet starts.
 
 use std::path::Path;
 use std::process::Command;
@@ -8,8 +8,8 @@
 
 static BUILT: OnceLock<()> = OnceLock::new();
 
-/// Builds `masticarchd` in the profile of the tests, once for each test
-/// program.
+/// Builds `masticarchd` and `masticarch` in the profile of the tests, once for
+/// each test program.
 ///
 /// `cargo test --workspace` does not build programs of packages without
 /// integration tests of their own, and would leave an outdated one in place. The
@@ -48,8 +48,9 @@
             "--locked",
             "--package",
             "masticarch-daemon",
+            "--package",
+            "masticarch-cli",
         ])
-        .args(["--bin", binary::PROGRAM])
         .arg("--manifest-path")
         .arg(manifest)
         .arg("--target-dir")
--- a/crates/testsuite/src/lib.rs
+++ b/crates/testsuite/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod arranged;
 pub mod caller;
 pub mod daemon;
+pub mod tool;
