Tell different sub-calls of one request apart

Cause: a non-idempotent sub-call without an idempotency key was claimed under the request id of its root. A second sub-call on the same route with other content was refused as idempotency_mismatch, so that an order of two pieces failed. Found by reading the claims.

Ruled out: not claiming sub-calls at all, because a repeat of their parent would then run them twice; a key per call, which a repeat could not find again.

Change: sub-calls are claimed under the root id and their content. Requests whose id is fresh are not claimed any more, because no resend can carry that id; this saves a commit for each.

--- a/crates/node/src/caller/claim.rs
+++ b/crates/node/src/caller/claim.rs
@@ -1,6 +1,6 @@
 //! Claims a non-idempotent request, or answers a resend of one.
 
-use masticarch_model::{answer as kept, claim, code};
+use masticarch_model::{answer as kept, claim, code, secret};
 use masticarch_wire::http::request;
 
 use crate::claims::{hold, message};
@@ -11,10 +11,42 @@
 pub enum Claimed {
     /// This request may run.
     Run(hold::Hold),
+    /// This request may run; no resend of it can be recognised.
+    Fresh,
     /// The first request with this key has this answer.
     Kept(kept::Answer),
 }
 
+/// By what a resend of a request is recognised.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Identity {
+    /// The idempotency key that the request carries.
+    Key(Box<str>),
+    /// The request id that its caller gave.
+    Root,
+    /// The request id of the root and the content: a root request may make
+    /// several sub-calls on one route, which differ in their content.
+    SubCall,
+    /// Nothing: the id is fresh, so that no resend can carry it.
+    Fresh,
+}
+
+impl Identity {
+    /// The idempotency key under which a request is claimed; none when a claim
+    /// would never be found again.
+    fn key(self, admission: &admission::Admission, digest: &[u8; 32]) -> Option<Box<str>> {
+        match self {
+            Self::Key(key) => Some(key),
+            Self::Root => Some(admission.root.clone()),
+            Self::SubCall => {
+                let content = secret::encode(digest);
+                Some(format!("{}/{content}", admission.root).into())
+            }
+            Self::Fresh => None,
+        }
+    }
+}
+
 /// Claims a request.
 ///
 /// # Errors
@@ -22,15 +54,18 @@
 pub async fn claim(
     services: &services::Services,
     admission: &admission::Admission,
-    key: Box<str>,
+    identity: Identity,
     request: &request::Request,
 ) -> Result<Claimed, refusal::Refusal> {
+    let digest = digest(request);
+    let Some(key) = identity.key(admission, &digest) else {
+        return Ok(Claimed::Fresh);
+    };
     let subject = claim::Subject {
         team: admission.team.clone(),
         route: admission.route.clone(),
         key,
     };
-    let digest = digest(request);
     let ask = |slot| message::Message::Claim(subject.clone(), digest, admission.deadline, slot);
     match services.claims.ask(ask).await {
         Ok(message::Verdict::Claimed(hold)) => Ok(Claimed::Run(hold)),
--- a/crates/node/src/caller/handler.rs
+++ b/crates/node/src/caller/handler.rs
@@ -62,9 +62,15 @@
             }
         };
         let parent = loan.as_ref().map(|loan| loan.parent);
+        let identity = match intake.idempotency_key {
+            Some(key) => claim::Identity::Key(key),
+            None if parent.is_some() => claim::Identity::SubCall,
+            None if admission.recognised => claim::Identity::Root,
+            None => claim::Identity::Fresh,
+        };
         let flight = flight::Flight::new(services, admission.request, parent);
         let root = admission.root.clone();
-        let run = Box::pin(self.run(flight, admission, request, intake.idempotency_key));
+        let run = Box::pin(self.run(flight, admission, request, identity));
         let result = match race::race(run, ended(loan)).await {
             Either::Left(result) => result,
             Either::Right(()) => Err(parent_ended()),
@@ -77,7 +83,7 @@
         mut flight: flight::Flight,
         mut admission: admission::Admission,
         request: request::Request,
-        key: Option<Box<str>>,
+        identity: claim::Identity,
     ) -> Result<answer::Answer, refusal::Refusal> {
         let decisions = self.services.options.decisions;
         if decisions && admission.recognised {
@@ -86,10 +92,10 @@
         }
         let mut hold = None;
         if decisions && !admission.idempotent {
-            let key = key.unwrap_or_else(|| admission.root.clone());
-            let claim = claim::claim(&self.services, &admission, key, &request);
+            let claim = claim::claim(&self.services, &admission, identity, &request);
             match Box::pin(claim).await? {
                 claim::Claimed::Run(claimed) => hold = Some(claimed),
+                claim::Claimed::Fresh => {}
                 claim::Claimed::Kept(kept) => return Ok(encode::kept(&kept, &admission.root)),
             }
         }
