Start both roles and the local mode through one function

Cause: three subcommands set up signals, stop and runtime with the same lines.

Change: command::serve does it once. Conclusion: no change of behaviour.

--- a/crates/daemon/src/command/control.rs
+++ b/crates/daemon/src/command/control.rs
@@ -1,10 +1,10 @@
 //! `masticarchd control`.
 
 use masticarch_control::role;
-use masticarch_kernel::{runtime, stop};
 
+use crate::command::serve;
 use crate::settings::control;
-use crate::{arguments, error, log, signal};
+use crate::{arguments, error, log};
 
 /// Runs a control process until a signal asks it to stop.
 ///
@@ -17,14 +17,5 @@
         return Ok(());
     }
     log::init(settings.log);
-    let signals = signal::stop()?;
-    runtime::run(async {
-        let (sender, stop) = stop::Stop::new();
-        monoio::spawn(async move {
-            let _ = signals.await;
-            drop(sender);
-        });
-        role::run(settings.options, stop).await
-    })??;
-    Ok(())
+    serve::until_signal(|stop| role::run(settings.options, stop))
 }
--- a/crates/daemon/src/command/local.rs
+++ b/crates/daemon/src/command/local.rs
@@ -8,7 +8,6 @@
 use futures::future;
 use masticarch_client::{client, draw, settings as operator};
 use masticarch_control::{options as control_options, role as control};
-use masticarch_kernel::{runtime, stop};
 use masticarch_load::standin;
 use masticarch_model::{
     access, configuration, edit, key, limit, member, place, priority, route, secret, team,
@@ -16,8 +15,9 @@
 use masticarch_node::{options as node_options, role as node};
 use masticarch_wire::handshake;
 
+use crate::command::serve;
 use crate::settings::node::FLEET;
-use crate::{arguments, error, log, signal};
+use crate::{arguments, error, log};
 
 /// Name of the operator of a local run.
 const OPERATOR: &str = "admin";
@@ -86,17 +86,11 @@
 /// See [`error::Error`].
 pub fn run(arguments: &arguments::Local) -> Result<(), error::Error> {
     log::init(log::Log::default());
-    let signals = signal::stop()?;
     let ports = Ports::new(arguments.port);
     let secrets = Secrets::draw()?;
     let data = data_directory(arguments)?;
     write_tool_settings(&data, &ports, &secrets)?;
-    runtime::run(async {
-        let (sender, stop) = stop::Stop::new();
-        monoio::spawn(async move {
-            let _ = signals.await;
-            drop(sender);
-        });
+    serve::until_signal(|stop| async move {
         let target = standin::Handle::start(target_settings(&ports))?;
         let control = control::run(control_settings(&ports, &secrets, &data), stop.clone());
         let node = node::run(node_settings(&ports, &secrets), stop.clone());
@@ -105,8 +99,8 @@
         let node = async { node.await.map_err(error::Error::from) };
         future::try_join3(control, node, example).await?;
         target.stop(TARGET_STOP_LIMIT).await;
-        Ok(())
-    })?
+        Ok::<(), error::Error>(())
+    })
 }
 
 fn data_directory(arguments: &arguments::Local) -> Result<PathBuf, error::Error> {
--- a/crates/daemon/src/command/node.rs
+++ b/crates/daemon/src/command/node.rs
@@ -1,10 +1,10 @@
 //! `masticarchd node`.
 
-use masticarch_kernel::{runtime, stop};
 use masticarch_node::role;
 
+use crate::command::serve;
 use crate::settings::node;
-use crate::{arguments, error, log, signal};
+use crate::{arguments, error, log};
 
 /// Runs a node until a signal asks it to drain and stop.
 ///
@@ -17,14 +17,5 @@
         return Ok(());
     }
     log::init(settings.log);
-    let signals = signal::stop()?;
-    runtime::run(async {
-        let (sender, stop) = stop::Stop::new();
-        monoio::spawn(async move {
-            let _ = signals.await;
-            drop(sender);
-        });
-        role::run(settings.options, stop).await
-    })??;
-    Ok(())
+    serve::until_signal(|stop| role::run(settings.options, stop))
 }
