Show operators the load of every target and what it sheds

Cause: status showed versions, members and limits, but not what was being shed or why.

Ruled out: asking each node when an operator asks (9,400 calls); metrics alone, which an operator in a surge has to add up.

Change: a node's poll carries limit, in-flight requests and admitted level of its targets, about 8 bytes each; the leader keeps the latest and the tool shows them with the priorities that are shed.

Conclusion: status tells which targets shed which priorities.

--- a/crates/cli/src/command/status.rs
+++ b/crates/cli/src/command/status.rs
@@ -50,27 +50,71 @@
 }
 
 fn nodes(status: &status::Status) -> String {
-    let mut table = output::Table::new(["NODE", "REGION", "DOMAIN", "HOLDS", "SILENT", "TARGETS"]);
-    for entry in &status.nodes {
-        let targets: Vec<_> = entry.targets.iter().map(target_cell).collect();
-        table.row([
-            entry.name.to_string(),
-            entry.place.region.to_string(),
-            entry.place.domain.to_string(),
-            entry.held.to_string(),
-            format!("{} ms", entry.silent_ms),
-            targets.join(" "),
-        ]);
+    let titles = [
+        "NODE",
+        "REGION",
+        "DOMAIN",
+        "HOLDS",
+        "SILENT",
+        "TARGET",
+        "STATE",
+        "SLOTS",
+        "IN FLIGHT",
+        "LIMIT",
+        "SHEDS",
+    ];
+    let mut table = output::Table::new(titles);
+    for node in &status.nodes {
+        let own = [
+            node.name.to_string(),
+            node.place.region.to_string(),
+            node.place.domain.to_string(),
+            node.held.to_string(),
+            silence(node.silent_ms),
+        ];
+        if node.targets.is_empty() {
+            table.row(join(own.clone(), <[String; 6]>::default()));
+        }
+        for target in &node.targets {
+            table.row(join(own.clone(), target_cells(node, target)));
+        }
     }
     table.render()
 }
 
-fn target_cell(target: &target::Target) -> String {
+/// One row from the cells of a node and those of a target.
+fn join(node: [String; 5], target: [String; 6]) -> [String; 11] {
+    let mut cells = node.into_iter().chain(target);
+    std::array::from_fn(|_| cells.next().unwrap_or_default())
+}
+
+fn silence(milliseconds: u64) -> String {
+    if milliseconds == u64::MAX {
+        return "not heard".into();
+    }
+    format!("{milliseconds} ms")
+}
+
+fn target_cells(node: &status::Node, target: &target::Target) -> [String; 6] {
     let state = match target.state {
-        target::State::Serving => "",
-        target::State::Draining => " draining",
+        target::State::Serving => "serving",
+        target::State::Draining => "draining",
+    };
+    let mut loads = node.loads.iter();
+    let load = loads.find(|load| load.service == target.service);
+    let number = |value: Option<u32>| value.map(|value| value.to_string()).unwrap_or_default();
+    let shed = |load: &status::Load| {
+        let names: Vec<_> = load.shed.iter().map(ToString::to_string).collect();
+        names.join(" ")
     };
-    format!("{} ({} slots{state})", target.service, target.slots)
+    [
+        target.service.to_string(),
+        state.into(),
+        target.slots.to_string(),
+        number(load.map(|load| load.in_flight)),
+        number(load.map(|load| load.limit)),
+        load.map(shed).unwrap_or_default(),
+    ]
 }
 
 fn teams(status: &status::Status) -> String {
--- a/crates/control/src/member/sync.rs
+++ b/crates/control/src/member/sync.rs
@@ -53,6 +53,7 @@
         name: node.name.clone(),
         incarnation: node.incarnation,
         held: request.held,
+        loads: request.loads,
     };
     send(services, membership::message::Message::Contact(contact)).await?;
     let targets = request.targets;
--- a/crates/control/src/membership/contacts.rs
+++ b/crates/control/src/membership/contacts.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use masticarch_model::{incarnation, map, name, version};
+use masticarch_wire::message::sync;
 
 use super::message;
 
@@ -18,10 +19,11 @@
 const STALL: Duration = Duration::from_secs(1);
 
 /// The last contact with one incarnation.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Contact {
     time: Instant,
     held: version::Version,
+    loads: Vec<sync::Load>,
 }
 
 /// The last join of a node.
@@ -63,10 +65,13 @@
     }
 
     /// Records a contact.
-    pub fn touch(&mut self, now: Instant, contact: &message::Contact) {
-        let held = contact.held;
-        self.latest
-            .insert(contact.incarnation, Contact { time: now, held });
+    pub fn touch(&mut self, now: Instant, contact: message::Contact) {
+        let latest = Contact {
+            time: now,
+            held: contact.held,
+            loads: contact.loads,
+        };
+        self.latest.insert(contact.incarnation, latest);
     }
 
     /// Records the join of a new incarnation.
@@ -115,6 +120,7 @@
                 incarnation: *incarnation,
                 held: contact.held,
                 silent: now.saturating_duration_since(contact.time),
+                loads: contact.loads.clone(),
             };
         self.latest.iter().map(silence).collect()
     }
--- a/crates/control/src/membership/message.rs
+++ b/crates/control/src/membership/message.rs
@@ -4,6 +4,7 @@
 
 use masticarch_kernel::reply;
 use masticarch_model::{incarnation, name, version};
+use masticarch_wire::message::sync;
 
 /// A sign of life of a node.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -14,10 +15,12 @@
     pub incarnation: incarnation::Incarnation,
     /// Version that it holds.
     pub held: version::Version,
+    /// Load of its targets.
+    pub loads: Vec<sync::Load>,
 }
 
 /// When a node was last heard from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Silence {
     /// Run of the node.
     pub incarnation: incarnation::Incarnation,
@@ -25,6 +28,8 @@
     pub held: version::Version,
     /// Time since its last contact.
     pub silent: Duration,
+    /// Load of its targets then.
+    pub loads: Vec<sync::Load>,
 }
 
 /// Asked of the service [`crate::name::MEMBERSHIP`].
--- a/crates/control/src/membership/service.rs
+++ b/crates/control/src/membership/service.rs
@@ -42,7 +42,7 @@
                 self.leads = leads;
                 self.contacts.restart(now);
             }
-            message::Message::Contact(contact) => self.contacts.touch(now, &contact),
+            message::Message::Contact(contact) => self.contacts.touch(now, contact),
             message::Message::Joined(name) => self.contacts.join(now, name),
             message::Message::Damping(name, reply) => {
                 let _ = reply.send(self.contacts.damping(now, &name));
--- a/crates/control/src/operator/status.rs
+++ b/crates/control/src/operator/status.rs
@@ -1,9 +1,9 @@
 //! State of the fleet for operators.
 
 use masticarch_kernel::error;
-use masticarch_model::{incarnation, map, view};
+use masticarch_model::{incarnation, map, name, view};
 use masticarch_policy::share::lease;
-use masticarch_wire::message::status;
+use masticarch_wire::message::{status, sync};
 
 use crate::{allotment, membership, registry, services};
 
@@ -29,6 +29,7 @@
         .into_iter()
         .map(|silence| (silence.incarnation, silence))
         .collect();
+    let priorities = view.priorities();
     Ok(status::Status {
         version: view.version,
         configuration_version: view.configuration_version,
@@ -37,7 +38,7 @@
         nodes: view
             .nodes
             .into_iter()
-            .map(|entry| node(entry, &silences))
+            .map(|entry| node(entry, &silences, &priorities))
             .collect(),
         teams: usage.into_iter().map(team).collect(),
     })
@@ -46,6 +47,7 @@
 fn node(
     entry: view::Entry,
     silences: &map::Map<incarnation::Incarnation, membership::message::Silence>,
+    priorities: &[name::Name],
 ) -> status::Node {
     let silence = silences.get(&entry.node.incarnation);
     // A node that this leader has not heard from yet counts as silent since
@@ -60,6 +62,21 @@
         held: silence.map(|silence| silence.held).unwrap_or_default(),
         silent_ms,
         targets: entry.targets,
+        loads: silence
+            .into_iter()
+            .flat_map(|silence| &silence.loads)
+            .map(|reported| load(reported, priorities))
+            .collect(),
+    }
+}
+
+fn load(reported: &sync::Load, priorities: &[name::Name]) -> status::Load {
+    let admitted = usize::from(reported.admitted).saturating_add(1);
+    status::Load {
+        service: reported.service.clone(),
+        limit: reported.limit,
+        in_flight: reported.in_flight,
+        shed: priorities.iter().skip(admitted).cloned().collect(),
     }
 }
 
--- a/crates/control/tests/membership.rs
+++ b/crates/control/tests/membership.rs
@@ -19,6 +19,7 @@
         name: "alertas-1".into(),
         incarnation: RUN,
         held: version::Version(1),
+        loads: Vec::new(),
     }
 }
 
@@ -36,7 +37,7 @@
     let start = Instant::now();
     let mut contacts = contacts::Contacts::new(start);
     let heard = start + Duration::from_millis(100);
-    contacts.touch(heard, &contact());
+    contacts.touch(heard, contact());
 
     let time = time_until_silent(&mut contacts, start);
 
@@ -62,7 +63,7 @@
 fn leader_that_was_frozen_allows_three_seconds_again() {
     let start = Instant::now();
     let mut contacts = contacts::Contacts::new(start);
-    contacts.touch(start, &contact());
+    contacts.touch(start, contact());
     assert!(contacts.silent(start + LOOK, nodes()).is_empty());
     let thawed = start + Duration::from_secs(20);
 
--- a/crates/control/tests/ports.rs
+++ b/crates/control/tests/ports.rs
@@ -19,6 +19,7 @@
     sync::Request {
         node: node.clone(),
         targets: Vec::new(),
+        loads: Vec::new(),
         held: version::Version(held),
         hold_ms: HOLD_MS,
         leaving: false,
@@ -349,7 +350,16 @@
             .call(&change(1, 0, vec![edit::Edit::Replace(set())]))
             .await;
         let member = control.member().await;
-        member.sync(&poll(&node("alertas-1", 7), 0)).await;
+        let overloaded = sync::Request {
+            loads: vec![sync::Load {
+                service: "alertas".into(),
+                limit: 12,
+                in_flight: 12,
+                admitted: 0,
+            }],
+            ..poll(&node("alertas-1", 7), 0)
+        };
+        member.sync(&overloaded).await;
 
         let reply = operator.call(&operator::Request::Status).await;
 
@@ -358,6 +368,8 @@
         };
         assert!(status.members[0].leads);
         assert_eq!(status.nodes[0].name, name::Name::new("alertas-1"));
+        assert_eq!(status.nodes[0].loads[0].limit, 12);
+        assert_eq!(status.nodes[0].loads[0].shed, [name::Name::new("normal")]);
         assert_eq!(status.teams[0].name, name::Name::new("arica"));
         control.stop().await;
     });
--- a/crates/model/src/directory.rs
+++ b/crates/model/src/directory.rs
@@ -124,7 +124,7 @@
         let mut directory = Self {
             version: view.version,
             configuration_version: view.configuration_version,
-            priorities: ranks(view),
+            priorities: view.priorities(),
             ..Self::default()
         };
         directory.add_teams(view);
@@ -286,19 +286,3 @@
         key
     }
 }
-
-/// Names of the priorities, the highest first.
-fn ranks(view: &view::View) -> Vec<name::Name> {
-    let priorities = &view.configuration.priorities;
-    let mut ranked = Vec::with_capacity(priorities.len());
-    let mut above: Option<&name::Name> = None;
-    while ranked.len() < priorities.len() {
-        let next = priorities
-            .iter()
-            .find(|entry| entry.below.as_ref() == above);
-        let Some(next) = next else { break };
-        ranked.push(next.name.clone());
-        above = Some(&next.name);
-    }
-    ranked
-}
--- a/crates/model/src/view.rs
+++ b/crates/model/src/view.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{configuration, delta, node, target, version};
+use crate::{configuration, delta, name, node, target, version};
 
 /// A node with its targets.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -27,6 +27,23 @@
 }
 
 impl View {
+    /// Names of the priorities by rank, the highest first.
+    #[must_use]
+    pub fn priorities(&self) -> Vec<name::Name> {
+        let priorities = &self.configuration.priorities;
+        let mut ranked = Vec::with_capacity(priorities.len());
+        let mut above: Option<&name::Name> = None;
+        while ranked.len() < priorities.len() {
+            let next = priorities
+                .iter()
+                .find(|entry| entry.below.as_ref() == above);
+            let Some(next) = next else { break };
+            ranked.push(next.name.clone());
+            above = Some(&next.name);
+        }
+        ranked
+    }
+
     /// Applies one published step. Steps about an incarnation that is not
     /// present have no effect.
     pub fn apply(&mut self, delta: &delta::Delta) {
--- a/crates/node/src/role.rs
+++ b/crates/node/src/role.rs
@@ -136,6 +136,7 @@
         own: services.sync.clone(),
         gate: services.gate.clone(),
         target: services.target.clone(),
+        admission: services.admission.clone(),
     }
 }
 
--- a/crates/node/src/sync/service.rs
+++ b/crates/node/src/sync/service.rs
@@ -9,7 +9,7 @@
 use masticarch_wire::message::sync;
 
 use super::{home, message, poll};
-use crate::{gate, leader, metrics, name, options, target as local};
+use crate::{admission, gate, leader, metrics, name, options, target as local};
 
 /// Longest time that the leader holds a request without news.
 const HOLD_MS: u32 = 500;
@@ -28,6 +28,8 @@
     pub gate: address::Address<gate::message::Message>,
     /// Knows the local targets.
     pub target: address::Address<local::message::Message>,
+    /// Knows the load of the local targets.
+    pub admission: address::Address<admission::message::Message>,
 }
 
 struct Sync {
@@ -104,6 +106,7 @@
                 peer: options.advertised.unwrap_or(options.peer),
             },
             targets,
+            loads: self.loads().await,
             held: self.view.version,
             // A changed announcement is followed at once by a further poll,
             // which brings it back to this node.
@@ -112,6 +115,18 @@
         }
     }
 
+    async fn loads(&self) -> Vec<sync::Load> {
+        let ask = admission::message::Message::Status;
+        let states = self.context.admission.ask(ask).await.unwrap_or_default();
+        let load = |(target, summary): (target::Target, admission::summary::Summary)| sync::Load {
+            service: target.service,
+            limit: summary.limit,
+            in_flight: summary.in_flight,
+            admitted: summary.overload,
+        };
+        states.into_iter().map(load).collect()
+    }
+
     async fn targets(&self) -> Vec<target::Target> {
         let list = self.context.target.ask(local::message::Message::List).await;
         let mut targets = list.unwrap_or_default();
--- a/crates/wire/src/message/status.rs
+++ b/crates/wire/src/message/status.rs
@@ -31,6 +31,22 @@
     pub silent_ms: u64,
     /// Its targets.
     pub targets: Vec<target::Target>,
+    /// Load of its targets when it was last heard from.
+    pub loads: Vec<Load>,
+}
+
+/// Load of a target.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Service of the target.
+    pub service: name::Name,
+    /// Admission limit, in requests.
+    pub limit: u32,
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// Priorities that are shed because the target is overloaded, the highest
+    /// first.
+    pub shed: Vec<name::Name>,
 }
 
 /// What is leased of one team's limit.
--- a/crates/wire/src/message/sync.rs
+++ b/crates/wire/src/message/sync.rs
@@ -2,9 +2,22 @@
 
 use std::net::SocketAddr;
 
-use masticarch_model::{delta, node, target, version, view};
+use masticarch_model::{delta, name, node, target, version, view};
 use serde::{Deserialize, Serialize};
 
+/// Load of a target, as admission beside it sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Service of the target.
+    pub service: name::Name,
+    /// Present admission limit, in requests.
+    pub limit: u32,
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// Lowest priority rank that is admitted: 0 is the highest.
+    pub admitted: u8,
+}
+
 /// Sent by a node: who it is, what its targets are, and what it holds.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Request {
@@ -12,6 +25,8 @@
     pub node: node::Node,
     /// All targets beside it; empty when there are none.
     pub targets: Vec<target::Target>,
+    /// Present load of these targets, for operators.
+    pub loads: Vec<Load>,
     /// Version that the node holds; 0 when it holds nothing.
     pub held: version::Version,
     /// Longest time to hold the answer when there is nothing newer, in
