--- a/crates/daemon/src/log.rs
+++ b/crates/daemon/src/log.rs
@@ -1,5 +1,7 @@
 //! Set-up of logs.
 
+use std::io::IsTerminal;
+
 use serde::Deserialize;
 use tracing_subscriber::EnvFilter;
 
@@ -55,6 +57,7 @@
     let filter = EnvFilter::new(log.level.as_str());
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
+        .with_ansi(std::io::stderr().is_terminal())
         .with_writer(std::io::stderr);
     let _ = match log.format {
         Format::Text => builder.try_init(),
