Name the node in a refused drain

The tool printed '2008 no_such_object: no_such_object' for a node that is not known. A drain concerns the targets beside a node, which goes on forwarding, and the output now says so.

--- a/crates/cli/src/command/drain.rs
+++ b/crates/cli/src/command/drain.rs
@@ -1,6 +1,7 @@
 //! `masticarch drain`.
 
-use masticarch_client::client;
+use masticarch_client::{client, error as call};
+use masticarch_model::code;
 use masticarch_wire::message::operator;
 
 use crate::{arguments, error};
@@ -15,7 +16,20 @@
 ) -> Result<(), error::Error> {
     let node = arguments.node.as_str();
     let request = operator::Request::Drain(node.into());
-    client.command(&request).await?;
-    println!("{node} takes no new work; running requests finish");
+    let drained = client.command(&request).await;
+    drained.map_err(|failure| explain(failure, node))?;
+    println!("the targets of {node} take no new work; running requests finish");
     Ok(())
 }
+
+/// Names the node when the group does not know it.
+#[must_use]
+pub fn explain(failure: call::Error, node: &str) -> error::Error {
+    match failure {
+        call::Error::Refused(code @ code::Code::NoSuchObject, _) => {
+            let detail = format!("no node is named {node}; see 'masticarch status'");
+            call::Error::Refused(code, detail.into()).into()
+        }
+        other => other.into(),
+    }
+}
