Show the demand of an idle team as 0.0

The sum of no numbers is -0.0, and the table of 'masticarch status' showed it. JSON and YAML still have the number as the leader sends it.

--- a/crates/cli/src/command/status.rs
+++ b/crates/cli/src/command/status.rs
@@ -15,21 +15,25 @@
         operator::Reply::Status(status) => status,
         other => return Err(client::unexpected(other).into()),
     };
-    output::print(form, &status, || {
-        let parts = [
-            format!(
-                "configuration version {}, state version {}, term {}",
-                status.configuration_version, status.version, status.term
-            ),
-            members(&status),
-            nodes(&status),
-            teams(&status),
-        ];
-        parts.join("\n\n")
-    });
+    output::print(form, &status, || table(&status));
     Ok(())
 }
 
+/// The state of the fleet as tables for people.
+#[must_use]
+pub fn table(status: &status::Status) -> String {
+    let parts = [
+        format!(
+            "configuration version {}, state version {}, term {}",
+            status.configuration_version, status.version, status.term
+        ),
+        members(status),
+        nodes(status),
+        teams(status),
+    ];
+    parts.join("\n\n")
+}
+
 fn members(status: &status::Status) -> String {
     let mut table = output::Table::new(["MEMBER", "ADDRESS", "ROLE", "HOLDS", "SILENT"]);
     for entry in &status.members {
@@ -80,7 +84,8 @@
             entry.name.to_string(),
             format!("{:.1}", entry.rate),
             format!("{:.1}", entry.leased),
-            format!("{:.1}", entry.demand),
+            // The sum of no numbers is -0.0; adding 0.0 takes the sign away.
+            format!("{:.1}", entry.demand + 0.0),
         ]);
     }
     table.render()
