Ask for the reports of shares without waiting for a tick

Cause: the lease service slept 250 ms before each question to the gate, so the first requests of a team waited up to 250 ms for a share, and those that reached the limit of 200 ms were refused as over_rate.

Change: the question stays with the gate all the time; two requests are still at least 250 ms apart.

--- a/crates/node/src/lease/service.rs
+++ b/crates/node/src/lease/service.rs
@@ -10,8 +10,8 @@
 
 use crate::{gate, leader, options};
 
-/// Time between two looks at the reports.
-const LOOK: Duration = Duration::from_millis(250);
+/// Shortest time between two requests, however often demand changes.
+const PACE: Duration = Duration::from_millis(250);
 /// Time between two requests while no team's demand changes.
 const STEADY: Duration = Duration::from_secs(1);
 /// Part of the demand by which it must change for an early request.
@@ -47,15 +47,18 @@
 }
 
 impl Lease {
+    /// Leaves its question with the gate all the time, so that the first request
+    /// of a team does not wait for the next look at the reports.
     async fn renew(&mut self) {
-        loop {
-            monoio::time::sleep(LOOK).await;
-            let Ok(reports) = self.gate.ask(gate::message::Message::Reports).await else {
-                return;
-            };
+        while let Ok(reports) = self.gate.ask(gate::message::Message::Reports).await {
+            let asked = Instant::now();
+            if reports.is_empty() {
+                continue;
+            }
             if self.is_due(&reports) {
                 self.request(reports).await;
             }
+            monoio::time::sleep_until((asked + PACE).into()).await;
         }
     }
 
--- /dev/null
+++ b/crates/node/tests/lease.rs
@@ -0,0 +1,33 @@
+//! Renewal of the shares of team limits.
+
+mod fixture;
+
+use std::time::Duration;
+
+use masticarch_kernel::{mailbox, runtime, stop};
+use masticarch_model::incarnation;
+use masticarch_node::gate::message;
+use masticarch_node::lease::service;
+
+/// Far below the 250 ms between two requests.
+const PROMPT: Duration = Duration::from_millis(100);
+
+// Guards against the first requests of a team waiting for a tick of the lease
+// service before the owner of the rates hears of the team.
+#[test]
+fn reports_are_asked_for_without_waiting_for_a_tick() {
+    let asked = runtime::run(async {
+        let (gate, mut mailbox) = mailbox::Mailbox::new(8);
+        let (_stop, stopped) = stop::Stop::new();
+        let incarnation = incarnation::Incarnation(1);
+        let options = fixture::options(true);
+        monoio::spawn(service::run(options, incarnation, gate, stopped));
+        monoio::time::timeout(PROMPT, mailbox.receive()).await
+    });
+
+    let asked = asked.unwrap();
+    assert!(
+        matches!(asked, Ok(Some(message::Message::Reports(_)))),
+        "{asked:?}"
+    );
+}
