Do not try an overloaded target again

Cause: after an overload refusal the gate chose any usable target when no untried one was left. With one target a refused request was offered to it up to four times within a millisecond, so that each refusal cost four, and the node spent its time on refusing.

Change: after an overload refusal only untried targets are chosen. The baseline without decisions is unchanged. The new gate test guards it.

--- a/crates/node/src/gate/state.rs
+++ b/crates/node/src/gate/state.rs
@@ -264,9 +264,20 @@
         rank: u8,
         now: Instant,
     ) -> Option<remote::RemoteKey> {
-        let rng = &mut self.rng;
-        let fresh = self.remotes.choose(pool, tried, rank, rng, now);
-        fresh.or_else(|| self.remotes.choose(pool, &[], rank, rng, now))
+        let fresh = self.choose_fresh(pool, tried, rank, now);
+        fresh.or_else(|| self.choose_fresh(pool, &[], rank, now))
+    }
+
+    /// A target that was not tried. A target that has just refused a request for
+    /// lack of capacity would refuse it again, and refusing costs capacity.
+    fn choose_fresh(
+        &mut self,
+        pool: remotes::PoolKey,
+        tried: &[remote::RemoteKey],
+        rank: u8,
+        now: Instant,
+    ) -> Option<remote::RemoteKey> {
+        self.remotes.choose(pool, tried, rank, &mut self.rng, now)
     }
 
     fn choice(
@@ -320,7 +331,12 @@
         }
         let (pool, rank) = (running.pool, running.rank);
         let tried = running.tried.clone();
-        let remote = self.choose(pool, &tried, rank, now)?;
+        let overloaded = verdict::failure(report) == Some(code::Code::Overloaded);
+        let remote = if self.options.decisions && overloaded {
+            self.choose_fresh(pool, &tried, rank, now)?
+        } else {
+            self.choose(pool, &tried, rank, now)?
+        };
         let running = self.running.get_mut(key)?;
         let executions = verdict::executions(report);
         if self.options.decisions && !running.purse.retry(executions) {
--- a/crates/node/tests/gate.rs
+++ b/crates/node/tests/gate.rs
@@ -182,6 +182,18 @@
     }
 }
 
+// Guards against retries that flood the only target, which has just refused the
+// request for lack of capacity.
+#[test]
+fn overloaded_target_is_not_tried_again() {
+    let next = fixture::with_gate(true, &fixture::view(1, 1), |gate| async move {
+        let admission = gate.begin(fixture::request("/open", None)).await.unwrap();
+        gate.next(&admission, refused(&admission.choice)).await
+    });
+
+    assert!(next.is_none(), "{next:?}");
+}
+
 // Guards against a new directory that resets what is known of targets, so that
 // ejected ones get requests again with every change of configuration.
 #[test]
