Time the limiter's warm-up by recent answers

Cause: after a change of phase the limiter ignored answers for three times the mean latency of the last window. A window measured while a service was five times slower made it ignore answers for over 2 s, also after the service had become fast again, at a limit of 3 or 4 of 14 slots.

--- a/crates/policy/src/limit/adaptive.rs
+++ b/crates/policy/src/limit/adaptive.rs
@@ -34,6 +34,10 @@
 /// first requests to end are the short ones; counting them measures too low a
 /// latency and, under noise, halves the limit.
 const WARM_UP: f64 = 3.0;
+/// Weight of one request in the mean latency by which the warm-up is timed. That
+/// of the last window would keep the warm-up of a slow service going for seconds
+/// after the service has become fast again.
+const RECENT_GAIN: f64 = 1.0 / 8.0;
 
 /// What the limiter measures at present.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,8 +61,10 @@
     falling: bool,
     connections: f64,
     phase: Phase,
-    counts_from: Option<Instant>,
+    warming_since: Option<Instant>,
+    counting: bool,
     window: Window,
+    recent_seconds: f64,
     short_seconds: f64,
     reference_seconds: Option<f64>,
     windows_to_probe: u32,
@@ -79,11 +85,19 @@
     /// Whether the latency of a request that ends now is that of the present
     /// phase.
     fn counts(&mut self, in_flight: u32, now: Instant) -> bool {
-        if self.counts_from.is_none() && in_flight <= self.current() {
-            let warm_up = WARM_UP * self.short_seconds;
-            self.counts_from = Some(now + Duration::from_secs_f64(warm_up));
+        if self.warming_since.is_none() && in_flight <= self.current() {
+            self.warming_since = Some(now);
         }
-        self.counts_from.is_some_and(|from| now >= from)
+        let latency = self.recent_seconds.min(self.short_seconds);
+        let warm_up = Duration::from_secs_f64(WARM_UP * latency);
+        let warm = |since| now.saturating_duration_since(since) >= warm_up;
+        self.counting |= self.warming_since.is_some_and(warm);
+        self.counting
+    }
+
+    fn follow_recent(&mut self, sample: sample::Sample) {
+        let seconds = sample.observed().as_secs_f64();
+        self.recent_seconds += RECENT_GAIN * (seconds - self.recent_seconds);
     }
 
     fn close(&mut self) {
@@ -163,7 +177,8 @@
 
     fn enter(&mut self, phase: Phase) {
         self.phase = phase;
-        self.counts_from = None;
+        self.warming_since = None;
+        self.counting = false;
     }
 }
 
@@ -176,8 +191,10 @@
             falling: false,
             connections,
             phase: Phase::Normal,
-            counts_from: None,
+            warming_since: None,
+            counting: false,
             window: Window::default(),
+            recent_seconds: 0.0,
             short_seconds: 0.0,
             reference_seconds: None,
             windows_to_probe: PROBE_INTERVAL_WINDOWS,
@@ -193,6 +210,7 @@
     }
 
     fn completed(&mut self, sample: sample::Sample, in_flight: u32, now: Instant) {
+        self.follow_recent(sample);
         if !self.counts(in_flight, now) {
             return;
         }
--- a/crates/policy/tests/limit.rs
+++ b/crates/policy/tests/limit.rs
@@ -48,6 +48,11 @@
     0.018 + 0.004 * rng.f64()
 }
 
+/// A slow service with little noise.
+fn slow(rng: &mut Rng) -> f64 {
+    0.120 + 0.040 * rng.f64()
+}
+
 /// Exponential service times: the deviation is as large as the mean.
 fn noisy(rng: &mut Rng) -> f64 {
     -0.020 * (1.0 - rng.f64()).ln()
@@ -165,6 +170,24 @@
     assert!(limit >= 0.95 * 70.0, "{limit}");
 }
 
+// Guards against a slowdown of a slow target with few slots that costs capacity
+// after it has ended, because few answers come in that time.
+#[test]
+fn recovers_within_two_seconds_at_a_slow_target() {
+    for seed in 0..20 {
+        let mut model = seeded_model(seed, 14, 14, u32::MAX, slow);
+        model.run(10.0);
+        model.slowdown = 5.0;
+        model.run(7.0);
+
+        model.slowdown = 1.0;
+        model.run(2.0);
+
+        let limit = model.limiter.current();
+        assert!(limit >= 10, "seed {seed}: {limit}");
+    }
+}
+
 // Guards against a limit of 0, from which no answer could raise it again.
 #[test]
 fn stays_at_least_one_when_everything_times_out() {
