Test the control group's leaders and cuts with real processes

Cause: the agreement had tests of its rules in one process only; nothing showed that acknowledged changes outlive real processes that are killed, frozen or cut off.

Change: fleets gain a fault proxy for each pair of control processes, so that one process can be cut off whole or in one direction; control processes with a new id and an empty disk; a limit on file sizes that stands for a full disk; operators' sessions that stay open. The test suite gains operators who resend with the same id, a watcher of the nodes' versions, and a checker of both, with tests that it sees each fault.

Ruled out: a member's address from its settings decides which proxy it uses, so that no change of the daemon was needed for cuts by pair.

--- a/crates/load/src/experiment/action.rs
+++ b/crates/load/src/experiment/action.rs
@@ -125,9 +125,8 @@
 }
 
 async fn fault_controls(fleet: &fleet::Fleet, fault: proxy::Fault) -> Result<(), error::Error> {
-    let proxies = fleet.controls.iter();
-    for proxy in proxies.filter_map(|control| control.proxy.as_ref()) {
-        proxy.apply(fault).await?;
+    for control in &fleet.controls {
+        control.fault(fault).await?;
     }
     Ok(())
 }
--- a/crates/load/src/fleet/handle.rs
+++ b/crates/load/src/fleet/handle.rs
@@ -1,31 +1,13 @@
 //! A running fleet.
 
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::time::Duration;
 
 use masticarch_model::name;
-use masticarch_wire::handshake;
 
-use super::{binary, hosts, operator, process, ready, settings, spec};
-use crate::{error, ports, proxy, standin};
-
-/// Secret of the fleet.
-const FLEET_SECRET: &str = "secret of a loopback test fleet";
-/// Name of the operator credential.
-const OPERATOR: &str = "tester";
-/// Secret of the operator credential.
-const OPERATOR_SECRET: &str = "secret of a loopback test operator";
-
-/// A control process.
-pub struct Control {
-    /// The process.
-    pub process: process::Process,
-    /// Its settings.
-    pub settings: settings::Control,
-    /// The fault proxy before its member port.
-    pub proxy: Option<proxy::Handle>,
-}
+use super::{binary, control, cut, operator, process, ready, settings, spec, start};
+use crate::{error, proxy, standin};
 
 /// A node process and the stand-in beside it.
 pub struct Node {
@@ -42,11 +24,12 @@
 /// A running fleet. All its processes end when it is dropped.
 pub struct Fleet {
     /// The control processes.
-    pub controls: Vec<Control>,
+    pub controls: Vec<control::Control>,
     /// The nodes, in the order of the description.
     pub nodes: Vec<Node>,
     /// An operator of the fleet.
     pub operator: operator::Operator,
+    start: start::Start,
     directory: tempfile::TempDir,
 }
 
@@ -60,23 +43,23 @@
     pub fn start(spec: &spec::Spec) -> Result<Self, error::Error> {
         let program = binary::locate()?;
         let directory = tempfile::tempdir()?;
-        let start = Start {
+        let start = start::Start {
             program,
-            directory: directory.path(),
-            spec,
+            directory: directory.path().to_owned(),
+            spec: spec.clone(),
         };
         start.secrets()?;
         let controls = start.controls()?;
-        let members: Vec<_> = controls.iter().map(Control::reached).collect();
+        let members: Vec<_> = controls.iter().map(control::Control::reached).collect();
         let nodes = (0..spec.nodes.len())
             .map(|index| start.node(index, &members))
             .collect::<Result<_, _>>()?;
         let addresses = controls.iter().map(|control| control.settings.operator);
-        let credential = handshake::Credential::new(name::Name::new(OPERATOR), OPERATOR_SECRET);
         Ok(Self {
-            operator: operator::Operator::new(addresses.collect(), credential),
+            operator: operator::Operator::new(addresses.collect(), start::credential()),
             controls,
             nodes,
+            start,
             directory,
         })
     }
@@ -117,6 +100,67 @@
         Err(error::Error::Timeout("all targets to be known".into()))
     }
 
+    /// Starts a control process with a new id and an empty disk, which takes part
+    /// once it is added to the group. Returns its number.
+    ///
+    /// # Errors
+    /// [`error::Error::Io`] when it cannot be started.
+    pub fn add_control(&mut self, id: u64) -> Result<usize, error::Error> {
+        let control = self.start.joining_control(id)?;
+        self.operator.add(control.settings.operator);
+        self.controls.push(control);
+        Ok(self.controls.len() - 1)
+    }
+
+    /// Number of the control process that leads.
+    ///
+    /// # Errors
+    /// [`error::Error::Timeout`] when no leader answers.
+    pub async fn leader(&self) -> Result<usize, error::Error> {
+        let status = self.operator.status().await?;
+        let leader = status.members.iter().find(|member| member.leads);
+        let id = leader.map(|leader| leader.member.id.0);
+        let mut controls = self.controls.iter();
+        controls
+            .position(|control| Some(control.settings.id) == id)
+            .ok_or_else(|| error::Error::Missing("the leader".into()))
+    }
+
+    /// Cuts a control process off from the other members and from the nodes,
+    /// without closing a connection.
+    ///
+    /// # Errors
+    /// [`error::Error::Kernel`] when a proxy has stopped.
+    pub async fn cut(&self, index: usize, cut: cut::Cut) -> Result<(), error::Error> {
+        self.fault_around(index, cut.towards(), cut.from()).await
+    }
+
+    /// Ends the cut of a control process. Bytes held meanwhile arrive late.
+    ///
+    /// # Errors
+    /// [`error::Error::Kernel`] when a proxy has stopped.
+    pub async fn heal(&self, index: usize) -> Result<(), error::Error> {
+        let none = proxy::Fault::default();
+        self.fault_around(index, none, none).await
+    }
+
+    /// Puts faults on connections that are opened to a control process and on
+    /// those that it opens.
+    async fn fault_around(
+        &self,
+        index: usize,
+        towards: proxy::Fault,
+        from: proxy::Fault,
+    ) -> Result<(), error::Error> {
+        let id = self.controls[index].settings.id;
+        self.controls[index].fault(towards).await?;
+        let links = self.controls.iter().flat_map(|control| &control.links);
+        for link in links.filter(|link| link.from == id) {
+            link.proxy.apply(from).await?;
+        }
+        Ok(())
+    }
+
     /// Names of the nodes.
     #[must_use]
     pub fn names(&self) -> Vec<name::Name> {
@@ -136,160 +180,3 @@
         self.directory.path()
     }
 }
-
-impl Control {
-    /// Address under which others reach its member port.
-    fn reached(&self) -> SocketAddr {
-        self.settings.advertised.unwrap_or(self.settings.member)
-    }
-}
-
-/// What the start of a fleet works with.
-struct Start<'a> {
-    program: PathBuf,
-    directory: &'a Path,
-    spec: &'a spec::Spec,
-}
-
-impl Start<'_> {
-    fn fleet_secret(&self) -> PathBuf {
-        self.directory.join("fleet.secret")
-    }
-
-    fn operator_secret(&self) -> PathBuf {
-        self.directory.join("operator.secret")
-    }
-
-    fn secrets(&self) -> Result<(), error::Error> {
-        std::fs::write(self.fleet_secret(), FLEET_SECRET)?;
-        std::fs::write(self.operator_secret(), OPERATOR_SECRET)?;
-        Ok(())
-    }
-
-    fn launch(&self, role: &str, name: &str) -> Result<process::Process, error::Error> {
-        let file = self.directory.join(format!("{name}.yaml"));
-        let arguments = [role, "--settings", &file.to_string_lossy()].map(str::to_owned);
-        let log = self.directory.join(format!("{name}.log"));
-        process::Process::start(self.program.clone(), arguments.into(), log)
-    }
-
-    fn write<T: serde::Serialize>(&self, name: &str, settings: &T) -> Result<(), error::Error> {
-        settings::write(&self.directory.join(format!("{name}.yaml")), settings)
-    }
-
-    /// A fault proxy before an address, if the fleet has proxies.
-    fn proxy(&self, upstream: SocketAddr) -> Result<Option<proxy::Handle>, error::Error> {
-        if !self.spec.proxies {
-            return Ok(None);
-        }
-        let listening = ports::free(upstream.ip())?;
-        proxy::Handle::start(listening, upstream).map(Some)
-    }
-
-    fn controls(&self) -> Result<Vec<Control>, error::Error> {
-        let mut prepared = Vec::new();
-        let mut members = Vec::new();
-        for id in (1..).take(self.spec.controls) {
-            let host = hosts::next();
-            let member = ports::free(host)?;
-            let proxy = self.proxy(member)?;
-            let advertised = proxy.as_ref().map(proxy::Handle::listening);
-            let address = advertised.unwrap_or(member);
-            members.push(settings::Member { id, address });
-            let settings = self.control_settings(id, member, advertised)?;
-            prepared.push((settings, proxy));
-        }
-        let start = |(mut settings, proxy): (settings::Control, _)| {
-            settings.members.clone_from(&members);
-            let name = format!("control-{}", settings.id);
-            self.write(&name, &settings)?;
-            let process = self.launch("control", &name)?;
-            Ok(Control {
-                process,
-                settings,
-                proxy,
-            })
-        };
-        prepared.into_iter().map(start).collect()
-    }
-
-    fn control_settings(
-        &self,
-        id: u64,
-        member: SocketAddr,
-        advertised: Option<SocketAddr>,
-    ) -> Result<settings::Control, error::Error> {
-        let operator = settings::Operator {
-            name: OPERATOR.into(),
-            secret_file: self.operator_secret(),
-        };
-        Ok(settings::Control {
-            id,
-            member,
-            advertised,
-            operator: ports::free(member.ip())?,
-            admin: ports::free(member.ip())?,
-            data: self.directory.join(format!("data-{id}")),
-            members: Vec::new(),
-            new: true,
-            join: false,
-            secret_file: self.fleet_secret(),
-            operators: vec![operator],
-        })
-    }
-
-    fn node(&self, index: usize, members: &[SocketAddr]) -> Result<Node, error::Error> {
-        let description = &self.spec.nodes[index];
-        let host = hosts::next();
-        let peer = ports::free(host)?;
-        let proxy = self.proxy(peer)?;
-        let settings = settings::Node {
-            name: format!("node-{index}"),
-            region: description.region.clone(),
-            domain: description.domain.clone(),
-            caller: ports::free(host)?,
-            peer,
-            advertised: proxy.as_ref().map(proxy::Handle::listening),
-            admin: ports::free(host)?,
-            control: members.to_vec(),
-            secret_file: self.fleet_secret(),
-            decisions: self.spec.decisions,
-        };
-        self.write(&settings.name, &settings)?;
-        let process = self.launch("node", &settings.name)?;
-        let target = description
-            .target
-            .as_ref()
-            .map(|target| self.target(index, target, &settings))
-            .transpose()?;
-        Ok(Node {
-            process,
-            settings,
-            proxy,
-            target,
-        })
-    }
-
-    fn target(
-        &self,
-        index: usize,
-        target: &spec::Target,
-        node: &settings::Node,
-    ) -> Result<standin::host::Host, error::Error> {
-        let host = node.caller.ip();
-        let settings = standin::Settings::builder()
-            .service(target.service.as_str())
-            .address(ports::free(host)?)
-            .control(ports::free(host)?)
-            .node_admin(node.admin)
-            .node_caller(node.caller)
-            .slots(target.slots)
-            .connections(target.connections)
-            .service_ms(target.service_ms)
-            .behaviour(target.behaviour)
-            .calls(target.calls.clone())
-            .seed(self.spec.seed.wrapping_add(index as u64))
-            .build();
-        standin::host::Host::start(settings)
-    }
-}
--- a/crates/load/src/fleet/mod.rs
+++ b/crates/load/src/fleet/mod.rs
@@ -1,14 +1,19 @@
 //! A fleet of real processes on loopback addresses.
 
+pub mod admin;
 pub mod binary;
+pub mod control;
+pub mod cut;
 pub mod handle;
 pub mod hosts;
 pub mod objects;
 pub mod operator;
 pub mod process;
 pub mod ready;
+pub mod session;
 pub mod settings;
 pub mod spec;
+mod start;
 
 pub use handle::Fleet;
 pub use spec::Spec;
--- a/crates/load/src/fleet/operator.rs
+++ b/crates/load/src/fleet/operator.rs
@@ -3,10 +3,11 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use masticarch_model::{change, configuration, edit, kind, name, object, version};
-use masticarch_wire::message::{self, operator, status};
-use masticarch_wire::{handshake, masticarch_capnp, rpc};
+use masticarch_model::{change, code, configuration, edit, kind, name, object, version};
+use masticarch_wire::handshake;
+use masticarch_wire::message::{operator, status};
 
+use super::session;
 use crate::error;
 
 /// Longest wait for the answer to one call.
@@ -45,29 +46,54 @@
             let Some(address) = addresses.next() else {
                 break;
             };
-            let reply = monoio::time::timeout(TIMEOUT, self.ask(address, request)).await;
-            match reply {
-                Ok(Ok(operator::Reply::NotLeader(_)) | Err(_)) | Err(_) => {
-                    monoio::time::sleep(PAUSE).await;
-                }
-                Ok(Ok(reply)) => return Ok(reply),
+            match self.ask(address, request).await {
+                Ok(
+                    operator::Reply::NotLeader(_)
+                    | operator::Reply::Refused(code::Code::StorageFailed, _),
+                )
+                | Err(_) => monoio::time::sleep(PAUSE).await,
+                Ok(reply) => return Ok(reply),
             }
         }
         Err(error::Error::Timeout("a leader".into()))
     }
 
-    async fn ask(
+    /// Asks one control process once.
+    ///
+    /// # Errors
+    /// [`error::Error::Timeout`] or [`error::Error::Wire`] without an answer; the
+    /// call may have been carried out.
+    pub async fn ask(
         &self,
         address: SocketAddr,
         request: &operator::Request,
-    ) -> Result<operator::Reply, masticarch_wire::error::Error> {
-        let role = handshake::Role::Operator;
-        let client: masticarch_capnp::operator::Client =
-            rpc::connect(address, role, &self.credential).await?;
-        let mut call = client.call_request();
-        call.get().set_request(&message::encode(request));
-        let response = call.send().promise.await?;
-        message::decode(response.get()?.get_reply()?)
+    ) -> Result<operator::Reply, error::Error> {
+        let exchange = async {
+            let session = self.session(address).await?;
+            session.call(request).await
+        };
+        monoio::time::timeout(TIMEOUT, exchange)
+            .await
+            .map_err(|_| error::Error::Timeout(format!("{address} to answer")))?
+    }
+
+    /// Opens a connection to one control process.
+    ///
+    /// # Errors
+    /// [`error::Error::Wire`] when the handshake fails.
+    pub async fn session(&self, address: SocketAddr) -> Result<session::Session, error::Error> {
+        session::Session::open(address, &self.credential).await
+    }
+
+    /// The same operator, reaching the control processes at other addresses.
+    #[must_use]
+    pub fn through(&self, addresses: Vec<SocketAddr>) -> Self {
+        Self::new(addresses, self.credential.clone())
+    }
+
+    /// Adds the operator port of another control process.
+    pub fn add(&mut self, address: SocketAddr) {
+        self.addresses.push(address);
     }
 
     /// Replaces the whole configuration.
--- a/crates/load/src/fleet/process.rs
+++ b/crates/load/src/fleet/process.rs
@@ -11,6 +11,9 @@
 
 /// Time between two looks at whether a process has ended.
 const POLL: Duration = Duration::from_millis(10);
+/// Shell script that limits the size of files, in blocks of 512 bytes, and
+/// becomes the program.
+const LIMITED: &str = "trap '' XFSZ; ulimit -f \"$1\"; shift; exec \"$@\"";
 
 /// A process that can be ended and started again with the same settings. It is
 /// killed when dropped.
@@ -46,10 +49,15 @@
     /// # Errors
     /// [`error::Error::Io`] when it cannot be started.
     pub fn restart(&mut self) -> Result<(), error::Error> {
+        let mut command = Command::new(&self.program);
+        command.args(&self.arguments);
+        self.launch(command)
+    }
+
+    fn launch(&mut self, mut command: Command) -> Result<(), error::Error> {
         self.kill()?;
         let output = File::options().create(true).append(true).open(&self.log)?;
-        let child = Command::new(&self.program)
-            .args(&self.arguments)
+        let child = command
             .stdin(Stdio::null())
             .stdout(output.try_clone()?)
             .stderr(output)
@@ -58,6 +66,22 @@
         Ok(())
     }
 
+    /// Starts the process again with a limit on the size of each file that it
+    /// writes, which stands for a full disk: writes above it fail. The signal that
+    /// goes with such a failure is ignored.
+    ///
+    /// # Errors
+    /// [`error::Error::Io`] when it cannot be started.
+    pub fn restart_with_file_limit(&mut self, blocks: u64) -> Result<(), error::Error> {
+        let mut command = Command::new("/bin/sh");
+        command
+            .args(["-c", LIMITED, "sh"])
+            .arg(blocks.to_string())
+            .arg(&self.program)
+            .args(&self.arguments);
+        self.launch(command)
+    }
+
     /// Ends the process at once (SIGKILL).
     ///
     /// # Errors
--- a/crates/load/src/fleet/ready.rs
+++ b/crates/load/src/fleet/ready.rs
@@ -3,16 +3,11 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use http::Request;
-
+use super::admin;
 use crate::error;
-use crate::http::connection;
 
 /// Time between two questions.
 const INTERVAL: Duration = Duration::from_millis(50);
-/// Longest wait for one answer.
-const TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Waits until the process behind an admin port is ready.
 ///
@@ -29,13 +24,7 @@
     Err(error::Error::Timeout(format!("{admin} to be ready")))
 }
 
-async fn is_ready(admin: SocketAddr) -> bool {
-    let request = Request::get("/ready")
-        .header(http::header::HOST, "masticarch")
-        .body(Bytes::new());
-    let Ok(request) = request else {
-        return false;
-    };
-    let answer = monoio::time::timeout(TIMEOUT, connection::once(admin, request)).await;
-    matches!(answer, Ok(Ok(answer)) if answer.status().is_success())
+/// Whether the process behind an admin port says that it is ready.
+pub async fn is_ready(admin: SocketAddr) -> bool {
+    admin::get(admin, "/ready").await.is_ok()
 }
--- a/crates/testsuite/src/lib.rs
+++ b/crates/testsuite/src/lib.rs
@@ -6,4 +6,9 @@
 
 pub mod arranged;
 pub mod caller;
+pub mod check;
 pub mod daemon;
+pub mod group;
+pub mod operation;
+pub mod watch;
+pub mod writer;
--- /dev/null
+++ b/crates/testsuite/src/watch.rs
@@ -0,0 +1,56 @@
+//! Watches the versions that nodes report while a test acts.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures::channel::oneshot;
+use masticarch_load::fleet::admin;
+
+/// Time between two looks.
+const INTERVAL: Duration = Duration::from_millis(50);
+
+/// What a node reported at one moment.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Observation {
+    /// Its admin port.
+    pub node: SocketAddr,
+    /// Run of its process.
+    pub incarnation: String,
+    /// Version of the state that it held.
+    pub version: u64,
+    /// Version of the configuration that it held.
+    pub configuration_version: u64,
+}
+
+/// Runs an action and watches nodes meanwhile.
+pub async fn during<F: Future>(nodes: Vec<SocketAddr>, action: F) -> (F::Output, Vec<Observation>) {
+    let (running, mut ended) = oneshot::channel::<()>();
+    let acting = async {
+        let output = action.await;
+        drop(running);
+        output
+    };
+    let watching = async {
+        let mut seen = Vec::new();
+        while ended.try_recv().is_ok() {
+            for node in &nodes {
+                seen.extend(look(*node).await);
+            }
+            monoio::time::sleep(INTERVAL).await;
+        }
+        seen
+    };
+    futures::join!(acting, watching)
+}
+
+/// Reads the status of a node; `None` when it does not answer.
+pub async fn look(node: SocketAddr) -> Option<Observation> {
+    let text = admin::get(node, "/status").await.ok()?;
+    let status: serde_json::Value = serde_json::from_str(&text).ok()?;
+    Some(Observation {
+        node,
+        incarnation: status["incarnation"].as_str()?.to_owned(),
+        version: status["version"].as_u64()?,
+        configuration_version: status["configuration_version"].as_u64()?,
+    })
+}
--- /dev/null
+++ b/crates/testsuite/src/writer.rs
@@ -0,0 +1,97 @@
+//! An operator who makes one change after the other.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use masticarch_load::fleet::operator;
+use masticarch_model::version;
+use masticarch_wire::message::operator as wire;
+
+use crate::operation;
+
+/// Time before a change is sent again.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// An operator who makes changes with ids drawn from a seed, and sends each with
+/// the same id until it is answered.
+pub struct Writer {
+    operator: operator::Operator,
+    addresses: Vec<SocketAddr>,
+    /// Number of the control process that answered last.
+    asked: usize,
+    expected: version::Version,
+    random: fastrand::Rng,
+    /// Answers that were lost, after which a change was sent again.
+    pub resent: usize,
+}
+
+impl Writer {
+    /// Makes an operator who has seen a version and reaches these ports.
+    #[must_use]
+    pub fn new(
+        operator: operator::Operator,
+        addresses: Vec<SocketAddr>,
+        expected: version::Version,
+        seed: u64,
+    ) -> Self {
+        Self {
+            operator,
+            addresses,
+            asked: 0,
+            expected,
+            random: fastrand::Rng::with_seed(seed),
+            resent: 0,
+        }
+    }
+
+    /// Makes changes until the moment has come.
+    pub async fn run_until(&mut self, end: Instant, limit: Duration) -> Vec<operation::Operation> {
+        let mut operations = Vec::new();
+        while Instant::now() < end {
+            operations.push(self.change(end + limit).await);
+        }
+        operations
+    }
+
+    /// Makes a number of changes; those not answered by `end` stay unknown.
+    pub async fn run(&mut self, count: usize, end: Instant) -> Vec<operation::Operation> {
+        let mut operations = Vec::with_capacity(count);
+        for _ in 0..count {
+            operations.push(self.change(end).await);
+        }
+        operations
+    }
+
+    async fn change(&mut self, end: Instant) -> operation::Operation {
+        let id = self.random.u128(..);
+        let expected = self.expected;
+        let request = wire::Request::Apply(operation::change(id, expected));
+        let outcome = self.send(&request, end).await;
+        match outcome {
+            operation::Outcome::Accepted(version) | operation::Outcome::Conflict(version) => {
+                self.expected = version;
+            }
+            operation::Outcome::Unknown => {}
+        }
+        operation::Operation {
+            id,
+            expected,
+            outcome,
+        }
+    }
+
+    async fn send(&mut self, request: &wire::Request, end: Instant) -> operation::Outcome {
+        while Instant::now() < end {
+            let address = self.addresses[self.asked % self.addresses.len()];
+            match self.operator.ask(address, request).await {
+                Ok(wire::Reply::Accepted(version)) => return operation::Outcome::Accepted(version),
+                Ok(wire::Reply::Conflict(version)) => return operation::Outcome::Conflict(version),
+                Ok(wire::Reply::NotLeader(_)) => {}
+                Ok(_) | Err(_) => self.resent += 1,
+            }
+            self.asked += 1;
+            monoio::time::sleep(PAUSE).await;
+        }
+        operation::Outcome::Unknown
+    }
+}
--- /dev/null
+++ b/crates/testsuite/tests/control_leader.rs
@@ -0,0 +1,144 @@
+//! The leader of the control group is killed or frozen while operators change
+//! the configuration.
+
+use std::time::{Duration, Instant};
+
+use masticarch_kernel::runtime;
+use masticarch_load::{error, fleet};
+use masticarch_testsuite::{group, operation, watch};
+use masticarch_wire::message::operator;
+use rstest::rstest;
+
+/// Longer than the leader's lease and every timeout of the election.
+const FROZEN: Duration = Duration::from_secs(3);
+
+/// Two operators change the configuration while the faults go on.
+async fn race(
+    group: &mut group::Group,
+    seed: u64,
+    span: Duration,
+    faults: impl AsyncFnOnce(&mut fleet::Fleet) -> Result<(), error::Error>,
+) -> (Vec<operation::Operation>, Vec<watch::Observation>) {
+    let mut first = group.writer(seed);
+    let mut second = group.writer(seed + 1);
+    let nodes = group.nodes();
+    let end = Instant::now() + span;
+    let acting = async {
+        futures::join!(
+            first.run_until(end, group::REPAIR),
+            second.run_until(end, group::REPAIR),
+            faults(&mut group.fleet),
+        )
+    };
+    let ((mut operations, more, done), observations) = watch::during(nodes, acting).await;
+    done.expect("the faults are injected");
+    operations.extend(more);
+    (operations, observations)
+}
+
+async fn kill_leaders(fleet: &mut fleet::Fleet) -> Result<(), error::Error> {
+    for _ in 0..2 {
+        monoio::time::sleep(Duration::from_secs(1)).await;
+        let leader = fleet.leader().await?;
+        fleet.controls[leader].process.kill()?;
+        monoio::time::sleep(Duration::from_secs(2)).await;
+        fleet.controls[leader].process.restart()?;
+    }
+    Ok(())
+}
+
+async fn freeze_leader(fleet: &mut fleet::Fleet) -> Result<(), error::Error> {
+    monoio::time::sleep(Duration::from_secs(1)).await;
+    let leader = fleet.leader().await?;
+    fleet.controls[leader].process.freeze()?;
+    monoio::time::sleep(FROZEN).await;
+    fleet.controls[leader].process.thaw()
+}
+
+// Guards against acknowledged changes that are lost or applied twice when the
+// leader dies before the others have them.
+#[rstest]
+#[case(101)]
+#[case(102)]
+fn killed_leaders_lose_no_acknowledged_change(#[case] seed: u64) {
+    let (violations, accepted) = runtime::run(async {
+        let mut group = group::Group::arrange(seed, false).await;
+        let span = Duration::from_secs(7);
+
+        let (operations, observations) = Box::pin(race(&mut group, seed, span, kill_leaders)).await;
+        group.converged().await;
+        let violations = group.violations(&operations, &observations).await;
+        (violations, group::accepted(&operations))
+    })
+    .unwrap();
+
+    println!("{accepted} changes were acknowledged");
+    assert_eq!(violations, Vec::<String>::new());
+    assert!(accepted > 20, "{accepted}");
+}
+
+// Guards against changes that a frozen leader acknowledges after another one
+// has been elected.
+#[rstest]
+#[case(111)]
+fn frozen_leader_loses_no_acknowledged_change(#[case] seed: u64) {
+    let (violations, accepted) = runtime::run(async {
+        let mut group = group::Group::arrange(seed, false).await;
+        let span = Duration::from_secs(6);
+
+        let (operations, observations) =
+            Box::pin(race(&mut group, seed, span, freeze_leader)).await;
+        group.converged().await;
+        let violations = group.violations(&operations, &observations).await;
+        (violations, group::accepted(&operations))
+    })
+    .unwrap();
+
+    println!("{accepted} changes were acknowledged");
+    assert_eq!(violations, Vec::<String>::new());
+    assert!(accepted > 20, "{accepted}");
+}
+
+// Guards against a leader that answers, right after it runs on, what it was
+// asked while it was frozen: a stale read, or a change that the others have
+// not accepted.
+#[rstest]
+#[case(121)]
+#[case(122)]
+fn resumed_leader_answers_nothing_as_current(#[case] seed: u64) {
+    let (read, write) = runtime::run(async {
+        let group = group::Group::arrange(seed, false).await;
+        let fleet = &group.fleet;
+        let leader = fleet.leader().await.unwrap();
+        let address = fleet.controls[leader].settings.operator;
+        let session = fleet.operator.session(address).await.unwrap();
+        let late = operation::change(u128::from(seed), group.version);
+        let late = operator::Request::Apply(late);
+
+        fleet.controls[leader].process.freeze().unwrap();
+        let asking =
+            async { futures::join!(session.call(&operator::Request::Get), session.call(&late)) };
+        let resuming = async {
+            let committed = group
+                .writer(seed)
+                .run(1, Instant::now() + group::REPAIR)
+                .await;
+            monoio::time::sleep(FROZEN).await;
+            fleet.controls[leader].process.thaw().unwrap();
+            committed
+        };
+        let (answers, committed) = futures::join!(asking, resuming);
+        assert_eq!(group::accepted(&committed), 1);
+        answers
+    })
+    .unwrap();
+
+    assert!(
+        !matches!(read, Ok(operator::Reply::Configuration(..))),
+        "{read:?}"
+    );
+    assert!(
+        !matches!(write, Ok(operator::Reply::Accepted(_))),
+        "{write:?}"
+    );
+}
