Let others go on when a leader's disk is full, and report it

Cause, found with real processes on a limited file size: a member whose storage had failed stopped following elections but still named the leader it had last known, so it stayed ready and sent callers to it. It answered reads and proposals with storage_failed, at which operators' tools gave up although another process led, and nodes were told that claims are unavailable and went on asking it, so that requests that run once were refused for good.

Change: such a member knows no leader and is not ready. Nodes are told that it does not lead; it has appended nothing when it refuses. The client tries the next process after storage_failed.

Ruled out: answering NotLeader to operators as well; storage_failed stays visible when no other process answers.

--- a/crates/client/src/client.rs
+++ b/crates/client/src/client.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use masticarch_model::{change, configuration, edit, version};
+use masticarch_model::{change, code, configuration, edit, version};
 use masticarch_wire::message::operator;
 use masticarch_wire::{error as wire_error, handshake, masticarch_capnp, message, rpc};
 
@@ -56,6 +56,10 @@
             let address = self.settings.control[self.next % self.settings.control.len()];
             let detail = match self.call_one(address, bytes.clone()).await {
                 Ok(operator::Reply::NotLeader(_)) => format!("{address} does not lead"),
+                // It has carried out nothing, and another process leads.
+                Ok(operator::Reply::Refused(code::Code::StorageFailed, _)) => {
+                    format!("the storage of {address} failed")
+                }
                 Ok(reply) => return Ok(reply),
                 Err(failure) if failure.refused => return Err(error::Error::Credential),
                 Err(failure) => {
--- a/crates/control/src/agreement/service.rs
+++ b/crates/control/src/agreement/service.rs
@@ -374,7 +374,9 @@
     fn status(&self) -> status::Status {
         let seen = self.agreement.status();
         let membership = self.agreement.membership();
-        let leader = seen.leader.and_then(|id| membership.find(id));
+        // A member whose storage failed no longer follows the elections.
+        let known = seen.leader.filter(|_| !self.failed);
+        let leader = known.and_then(|id| membership.find(id));
         let role = match seen.role {
             role::Role::Leader if !self.failed => status::Role::Leader,
             role::Role::PreCandidate | role::Role::Candidate => status::Role::Candidate,
--- a/crates/control/src/member/claim.rs
+++ b/crates/control/src/member/claim.rs
@@ -17,7 +17,10 @@
         Ok(outcome::Outcome::Refused(code::Code::IdempotencyMismatch)) => {
             present(services, subject).await
         }
-        Err(code::Code::NotLeader) => claim::Reply::NotLeader(services.log.leader().await),
+        // A member whose storage failed has appended nothing; another one leads.
+        Err(code::Code::NotLeader | code::Code::StorageFailed) => {
+            claim::Reply::NotLeader(services.log.leader().await)
+        }
         Ok(_) | Err(_) => {
             services.metrics.refused(code::Code::ClaimUnavailable);
             claim::Reply::Unavailable
