--- a/crates/control/examples/capacity.rs
+++ b/crates/control/examples/capacity.rs
@@ -202,6 +202,12 @@
     let request = sync::Request {
         node: node(77),
         targets: vec![target(size, 77)],
+        loads: vec![sync::Load {
+            service: "service-1".into(),
+            limit: 70,
+            in_flight: 70,
+            admitted: 255,
+        }],
         held: catalog.version(),
         hold_ms: 500,
         leaving: false,
--- a/crates/node/examples/home.rs
+++ b/crates/node/examples/home.rs
@@ -31,10 +31,10 @@
 
 fn main() {
     for nodes in [94, 940, 9_400] {
-        let directory = directory(nodes);
+        let homes = home::Homes::new(&directory(nodes));
         let begun = Instant::now();
         for id in 0..IDS {
-            black_box(home::of(&directory, &format!("arica/{id:032x}")));
+            black_box(homes.of(&format!("arica/{id:032x}")));
         }
         let each = begun.elapsed().as_secs_f64() * 1e6 / f64::from(IDS);
         println!(r#"{{"nodes":{nodes},"measured":"find a home node","microseconds":{each:.2}}}"#);
--- a/crates/testsuite/src/lib.rs
+++ b/crates/testsuite/src/lib.rs
@@ -6,5 +6,10 @@
 
 pub mod arranged;
 pub mod caller;
+pub mod check;
 pub mod daemon;
+pub mod group;
+pub mod operation;
 pub mod tool;
+pub mod watch;
+pub mod writer;
