Write a completion script to a closed output without a panic

'masticarch completions bash | head' ended with a panic of the generator on the broken pipe. The script is now made in memory and written at once.

--- a/crates/cli/src/command/completions.rs
+++ b/crates/cli/src/command/completions.rs
@@ -1,5 +1,7 @@
 //! `masticarch completions`.
 
+use std::io::Write;
+
 use clap::CommandFactory;
 use clap_complete::Shell;
 
@@ -8,5 +10,8 @@
 /// Prints a completion script.
 pub fn run(shell: Shell) {
     let mut command = arguments::Arguments::command();
-    clap_complete::generate(shell, &mut command, "masticarch", &mut std::io::stdout());
+    let mut script = Vec::new();
+    clap_complete::generate(shell, &mut command, "masticarch", &mut script);
+    // A reader that has gone away, as `head` does, is no fault.
+    let _ = std::io::stdout().write_all(&script);
 }
