--- a/crates/load/src/generator/report.rs
+++ b/crates/load/src/generator/report.rs
@@ -48,6 +48,13 @@
         histogram(self.of_team(team))
     }
 
+    /// The same for the requests of one team that are due from a moment on.
+    #[must_use]
+    pub fn latencies_from(&self, team: usize, from: Duration) -> Histogram<u64> {
+        let due = |record: &&record::Record| record.intended >= from;
+        histogram(self.of_team(team).filter(due))
+    }
+
     /// Share of the requests of one team that were served; 1 when it sent none.
     #[must_use]
     pub fn served_share(&self, team: usize) -> f64 {
