Refuse claims that were settled as not run before they arrived

A node that gives up on a claim settles it as not run on another connection. When the settlement was committed first, or the claim was sent twice, the later claim was accepted and nobody settled it: every resend was told 'still_running' for as long as the node lived, which was untrue.

A node that finds its own attempt as unknown, because its incarnation expired before the claim was answered, refuses as not run and settles it, as that attempt never ran.

Ruled out: a second execution; the table never gave a claim to two attempts. The new test failed before with 'Claimed' in both cases and passes.

--- a/crates/model/src/catalog.rs
+++ b/crates/model/src/catalog.rs
@@ -1,5 +1,6 @@
 //! The replicated state machine: configuration, membership and claims.
 
+mod cancelled;
 mod change_log;
 mod claim_table;
 mod delta_log;
--- a/crates/model/src/catalog/claim_table.rs
+++ b/crates/model/src/catalog/claim_table.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::cancelled;
 use crate::{answer, attempt, claim, code, incarnation, map, outcome, settlement, version};
 
 /// A claim and when it was settled.
@@ -27,6 +28,7 @@
     running: map::Map<incarnation::Incarnation, map::Set<claim::Subject>>,
     /// The oldest first; may name claims that were removed or settled again.
     settled: VecDeque<Settled>,
+    cancelled: cancelled::Cancelled,
 }
 
 impl ClaimTable {
@@ -46,6 +48,9 @@
         if let Some(entry) = self.entries.get(&subject) {
             return repeated(&entry.claim, &digest, attempt);
         }
+        if self.cancelled.has(attempt) {
+            return outcome::Outcome::Refused(code::Code::ClaimUnavailable);
+        }
         let running = self.running.entry(attempt.node).or_default();
         running.insert(subject.clone());
         let claim = claim::Claim {
@@ -71,8 +76,12 @@
         settlement: settlement::Settlement,
         version: version::Version,
     ) -> outcome::Outcome {
+        if settlement == settlement::Settlement::NotRun {
+            self.cancelled.add(attempt);
+        }
         let Some(entry) = self.entries.get(subject) else {
-            // A resend after the first settlement removed the claim.
+            // The claim has not arrived yet, or an earlier copy of the settlement
+            // has removed it.
             return outcome::Outcome::Applied;
         };
         if entry.claim.holder != attempt {
--- a/crates/model/tests/catalog.rs
+++ b/crates/model/tests/catalog.rs
@@ -356,6 +356,27 @@
     assert_eq!(state(&log), None);
 }
 
+// Guards against a claim that is committed after its node gave it up, and that
+// nobody would settle: every resend would be told that it still runs.
+#[rstest]
+#[case::settled_first(vec![])]
+#[case::sent_twice(vec![claiming(1, attempt(1, 1))])]
+fn claim_that_was_given_up_is_refused(#[case] earlier: Vec<command::Command>) {
+    let mut log = started();
+    for command in earlier {
+        log.apply(command);
+    }
+    log.apply(settling(attempt(1, 1), settlement::Settlement::NotRun));
+    log.restart();
+
+    let late = log.apply(claiming(1, attempt(1, 1)));
+    let resend = log.apply(claiming(1, attempt(2, 1)));
+
+    let refused = code::Code::ClaimUnavailable;
+    assert_eq!(late, outcome::Outcome::Refused(refused));
+    assert_eq!(resend, outcome::Outcome::Claimed);
+}
+
 // Guards against an execution after the claim became unknown, and against a
 // kept answer that is overwritten.
 #[test]
--- a/crates/node/src/claims/service.rs
+++ b/crates/node/src/claims/service.rs
@@ -106,7 +106,10 @@
             };
             let committed = worker::claim(&mut leader, &request, deadline).await;
             let verdict = match committed {
-                Some(wire::Reply::Held(claim)) => message::Verdict::Held(claim),
+                // A claim of this attempt that became unknown did not run.
+                Some(wire::Reply::Held(claim)) if claim.holder != attempt => {
+                    message::Verdict::Held(claim)
+                }
                 reply => {
                     // Settles the claim as not run unless the asker takes it over.
                     let hold = hold::Hold::new(own.clone(), subject, attempt);
