Hold at-most-once, fleet rate, retries and dead connections by tests

Change: integration tests with real processes, with the fault as a case. The fixture waits until every node holds the version that contains all targets. Before, it waited for the control process only: in the first run of at_most_once one case waited for ever for its first request to run. The likely cause is a refusal as no_target; the answer was not kept.

--- a/crates/testsuite/src/arranged.rs
+++ b/crates/testsuite/src/arranged.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use masticarch_load::fleet::{self, objects};
+use masticarch_load::standin::distribution;
 
 use crate::daemon;
 
@@ -11,7 +12,7 @@
 pub const LIMIT: Duration = Duration::from_secs(20);
 
 /// Starts a fleet, applies a configuration, and waits until it is in force on
-/// every node and every stand-in is known as a target.
+/// every node and every stand-in is known to every node as a target.
 ///
 /// # Panics
 /// When any of this fails.
@@ -26,6 +27,10 @@
     in_force.await.expect("the configuration is in force");
     let known = fleet.targets_known(LIMIT).await;
     known.expect("all targets are known");
+    let status = fleet.operator.status().await;
+    let version = status.expect("the leader answers").version;
+    let in_force = fleet.operator.in_force(version, &names, LIMIT);
+    in_force.await.expect("every node knows all targets");
     fleet
 }
 
@@ -40,3 +45,12 @@
 pub fn node_with(target: fleet::spec::Target) -> fleet::spec::Node {
     fleet::spec::Node::builder().target(target).build()
 }
+
+/// A stand-in for a service whose work takes a fixed time.
+#[must_use]
+pub fn target(service: &str, milliseconds: f64) -> fleet::spec::Target {
+    fleet::spec::Target::builder()
+        .service(service)
+        .service_ms(distribution::Distribution::Fixed(milliseconds))
+        .build()
+}
--- a/crates/testsuite/src/caller.rs
+++ b/crates/testsuite/src/caller.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response};
+use masticarch_load::error;
 use masticarch_load::http::connection;
 use masticarch_wire::header;
 
@@ -50,17 +51,39 @@
     /// # Panics
     /// When no whole answer comes in time.
     pub async fn post(&self, node: SocketAddr, path: &str, body: &'static str) -> Response<Bytes> {
+        self.send(node, path, body, &[])
+            .await
+            .expect("the answer is whole")
+    }
+
+    /// Sends a request with a body and further headers on a connection of its
+    /// own.
+    ///
+    /// # Errors
+    /// Those of [`connection::once`] when no whole answer comes.
+    ///
+    /// # Panics
+    /// When the answer does not come in time.
+    pub async fn send(
+        &self,
+        node: SocketAddr,
+        path: &str,
+        body: &'static str,
+        headers: &[(&str, &str)],
+    ) -> Result<Response<Bytes>, error::Error> {
         let mut request = Request::post(path).header(http::header::HOST, "masticarch");
         if let Some(key) = &self.key {
             request = request.header(header::KEY, key);
         }
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
         let request = request
             .body(Bytes::from_static(body.as_bytes()))
-            .expect("path and key are valid");
+            .expect("path and headers are valid");
         monoio::time::timeout(TIMEOUT, connection::once(node, request))
             .await
             .expect("the answer comes in time")
-            .expect("the answer is whole")
     }
 }
 
