Hold back the joins of a flapping node

Cause, found with real processes: only announcements of targets were held back. A process that restarted every 0.5 s still changed the fleet with each run, because each join is published and replaces the node's entry.

Change: a new incarnation joins no earlier than 2 s after the node's previous join; its next poll tries again.

Ruled out: removing the old entry at once and joining later, which makes two changes instead of one; the old entry stays for 2 s at most, less than after a crash without a restart.

Conclusion: the fleet sees at most one join of a node in 2 s. The times of joins are kept by the leader, so that a new leader allows one more join.

--- a/crates/control/src/member/sync.rs
+++ b/crates/control/src/member/sync.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use masticarch_kernel::reply;
 use masticarch_model::{code, command, name, outcome, version};
 use masticarch_wire::message::sync;
 
@@ -61,6 +62,9 @@
         .ask(|reply| registry::message::Message::Presence(node.clone(), targets.clone(), reply));
     let presence = asked.await.map_err(|_| code::Code::NoQuorum)?;
     if presence == presence::Presence::Absent {
+        if may_not_join_yet(services, &node.name).await? {
+            return Ok(());
+        }
         let name = node.name.clone();
         commit(services, &command::Command::Join(node.clone())).await?;
         send(services, membership::message::Message::Joined(name)).await?;
@@ -77,13 +81,32 @@
     Ok(())
 }
 
+/// Whether the join is held back; the node's next poll tries again.
+async fn may_not_join_yet(
+    services: &services::Services,
+    name: &name::Name,
+) -> Result<bool, code::Code> {
+    is_held_back(services, |reply| {
+        membership::message::Message::JoinDelay(name.clone(), reply)
+    })
+    .await
+}
+
 /// Whether announcements are held back; the node's next poll tries again.
 async fn is_damped(services: &services::Services, name: &name::Name) -> Result<bool, code::Code> {
-    let asked = services
-        .membership
-        .ask(|reply| membership::message::Message::Damping(name.clone(), reply));
-    let damping = asked.await.map_err(|_| code::Code::NoQuorum)?;
-    Ok(!damping.is_zero())
+    is_held_back(services, |reply| {
+        membership::message::Message::Damping(name.clone(), reply)
+    })
+    .await
+}
+
+async fn is_held_back(
+    services: &services::Services,
+    build: impl FnOnce(reply::Reply<Duration>) -> membership::message::Message,
+) -> Result<bool, code::Code> {
+    let asked = services.membership.ask(build).await;
+    let delay = asked.map_err(|_| code::Code::NoQuorum)?;
+    Ok(!delay.is_zero())
 }
 
 async fn commit(
--- a/crates/control/src/membership/contacts.rs
+++ b/crates/control/src/membership/contacts.rs
@@ -11,7 +11,8 @@
 pub const EXPIRY: Duration = Duration::from_secs(3);
 /// A node that joins again within this time is damped.
 pub const FLAP_WINDOW: Duration = Duration::from_secs(10);
-/// Time from one join to the next announcement of a damped node.
+/// Time from one join of a node to the next, and to the next announcement of a
+/// damped node.
 pub const DAMPING: Duration = Duration::from_secs(2);
 /// Time without a look at the contacts after which this process must have been
 /// stopped: contacts may then be waiting unread, so that nobody is silent yet.
@@ -87,6 +88,16 @@
         })
     }
 
+    /// The time for which the join of a new incarnation is held back, so that a
+    /// process that restarts all the time changes the fleet once in [`DAMPING`].
+    #[must_use]
+    pub fn join_delay(&self, now: Instant, name: &name::Name) -> Duration {
+        let join = self.joins.get(name);
+        join.map_or(Duration::ZERO, |join| {
+            (join.time + DAMPING).saturating_duration_since(now)
+        })
+    }
+
     /// Those of the nodes that are silent for too long; the others and those
     /// who are not listed are forgotten when their time is over.
     #[must_use]
--- a/crates/control/src/membership/message.rs
+++ b/crates/control/src/membership/message.rs
@@ -36,6 +36,8 @@
     Contact(Contact),
     /// A new incarnation of a node joined.
     Joined(name::Name),
+    /// The time for which the join of a new incarnation is held back.
+    JoinDelay(name::Name, reply::Reply<Duration>),
     /// The time for which announcements of a node are held back.
     Damping(name::Name, reply::Reply<Duration>),
     /// Those of the given nodes that are silent for too long.
--- a/crates/control/src/membership/service.rs
+++ b/crates/control/src/membership/service.rs
@@ -44,6 +44,9 @@
             }
             message::Message::Contact(contact) => self.contacts.touch(now, &contact),
             message::Message::Joined(name) => self.contacts.join(now, name),
+            message::Message::JoinDelay(name, reply) => {
+                let _ = reply.send(self.contacts.join_delay(now, &name));
+            }
             message::Message::Damping(name, reply) => {
                 let _ = reply.send(self.contacts.damping(now, &name));
             }
--- a/crates/control/tests/membership.rs
+++ b/crates/control/tests/membership.rs
@@ -92,6 +92,24 @@
     assert_eq!(damping(&contacts, late), Duration::ZERO);
 }
 
+// Guards against a node whose joins change the fleet although its announcements
+// are held back.
+#[test]
+fn next_join_of_a_node_is_held_back_for_two_seconds() {
+    let start = Instant::now();
+    let mut contacts = contacts::Contacts::new(start);
+    let name = name::Name::new("alertas-1");
+    assert_eq!(contacts.join_delay(start, &name), Duration::ZERO);
+
+    contacts.join(start, name.clone());
+
+    let early = start + Duration::from_millis(500);
+    let late = start + Duration::from_secs(2);
+    let delay = contacts.join_delay(early, &name);
+    assert_eq!(delay, Duration::from_millis(1_500));
+    assert_eq!(contacts.join_delay(late, &name), Duration::ZERO);
+}
+
 // Guards against settled claims that are forgotten before ten minutes, by which
 // a late resend would run again.
 #[test]
