--- a/crates/control/src/journal.rs
+++ b/crates/control/src/journal.rs
@@ -29,6 +29,10 @@
             source(source)
             display("cannot open the data directory: {source}")
         }
+        /// Another process uses the data directory.
+        Locked {
+            display("another process uses the data directory")
+        }
         /// The store refuses the data directory.
         Store(source: store_error::Error) {
             from()
@@ -77,7 +81,7 @@
     /// # Errors
     /// [`Error`] when the directory cannot be used.
     pub fn open(options: &options::Options) -> Result<Self, Error> {
-        let directory = directory::Directory::open(&options.data)?;
+        let directory = directory::Directory::open(&options.data).map_err(locked)?;
         if options.new {
             create(&directory, options)?;
         }
@@ -114,6 +118,13 @@
     }
 }
 
+fn locked(error: io::Error) -> Error {
+    match error.kind() {
+        io::ErrorKind::WouldBlock => Error::Locked,
+        _ => Error::Io(error),
+    }
+}
+
 fn lost_if_empty(error: store_error::Error) -> Error {
     match error {
         store_error::Error::Empty => Error::Lost,
--- a/crates/control/tests/agreement.rs
+++ b/crates/control/tests/agreement.rs
@@ -180,6 +180,22 @@
     assert_eq!(others, Err(code::Code::NotLeader), "a vote was not durable");
 }
 
+// Guards against two processes that write to one data directory, and against an
+// operator who is not told so.
+#[test]
+fn data_directory_in_use_is_refused() {
+    let second = runtime::run(async {
+        let group = Group::new();
+        let options = group.options(1);
+        let _first = journal::Journal::open(&options).unwrap();
+
+        journal::Journal::open(&options).map(|_| ())
+    })
+    .unwrap();
+
+    assert!(matches!(second, Err(journal::Error::Locked)), "{second:?}");
+}
+
 // Guards against a member that starts with an empty or a foreign disk and votes
 // again in terms in which it has voted.
 #[test]
--- a/crates/node/src/caller/encode.rs
+++ b/crates/node/src/caller/encode.rs
@@ -35,7 +35,9 @@
     let json = HeaderValue::from_static("application/json");
     answer.headers.insert(header::CONTENT_TYPE, json);
     describe(refusal, &mut answer);
-    fields::set(&mut answer.headers, names::REQUEST_ID, id);
+    if !id.is_empty() {
+        fields::set(&mut answer.headers, names::REQUEST_ID, id);
+    }
     answer.keep_alive = code != code::Code::Draining;
     answer
 }
--- a/crates/testsuite/tests/control_disk.rs
+++ b/crates/testsuite/tests/control_disk.rs
@@ -8,6 +8,7 @@
 use masticarch_load::{error, fleet};
 use masticarch_model::member;
 use masticarch_testsuite::{arranged, caller, group, watch};
+use masticarch_wire::header;
 use masticarch_wire::message::operator;
 use rstest::rstest;
 
@@ -220,15 +221,26 @@
     (fleet, caller::Caller::with_key(&key))
 }
 
+/// Sends a request with an idempotency key of its own, so that it is claimed;
+/// tells whether it was served.
+async fn order(caller: &caller::Caller, node: SocketAddr, number: usize) -> bool {
+    let key = format!("order-{number}");
+    let headers = [(header::IDEMPOTENCY_KEY, key.as_str())];
+    let answer = caller.send(node, "/orders", "1 jigsaw", &headers).await;
+    answer.unwrap().status().is_success()
+}
+
 /// Sends requests until one is served. A team that was idle when the leader
 /// changed has to wait until the leases of the earlier leader are over.
 async fn served(caller: &caller::Caller, node: SocketAddr) {
     let started = Instant::now();
-    while started.elapsed() < group::REPAIR {
-        let answer = caller.post(node, "/orders", "1 jigsaw").await;
-        if answer.status().is_success() {
+    for number in REQUESTS.. {
+        if order(caller, node, number).await {
             return;
         }
+        if started.elapsed() > group::REPAIR {
+            break;
+        }
         monoio::time::sleep(Duration::from_millis(50)).await;
     }
     panic!("no request is served");
@@ -255,9 +267,8 @@
         served(&caller, node).await;
         let mut answered = Instant::now();
         let mut refused = Duration::ZERO;
-        for _ in 0..REQUESTS {
-            let answer = caller.post(node, "/orders", "1 jigsaw").await;
-            if answer.status().is_success() {
+        for number in 0..REQUESTS {
+            if order(&caller, node, number).await {
                 answered = Instant::now();
             }
             refused = refused.max(answered.elapsed());
--- a/crates/testsuite/tests/tool.rs
+++ b/crates/testsuite/tests/tool.rs
@@ -159,15 +159,18 @@
     });
 }
 
-// Guards against an operator port that is open to whoever finds it.
-#[test]
-fn wrong_secret_is_refused_and_told() {
+// Guards against an operator port that is open to whoever finds it, and against
+// an operator who is told that no control process can be reached.
+#[rstest]
+#[case::wrong_secret("wrong.secret", "tester")]
+#[case::unknown_name("operator.secret", "stranger")]
+fn wrong_credential_is_refused_and_told(#[case] secret: &str, #[case] name: &str) {
     run(async {
         let fleet = fleet(1).await;
         file(&fleet, "wrong.secret", "some other secret of 32 letters.");
-        let tool = Tool::new(&fleet, "wrong.secret");
+        let tool = Tool::new(&fleet, secret);
 
-        let outcome = tool.run(&["get"]);
+        let outcome = tool.run(&["--operator", name, "get"]);
 
         assert_eq!(outcome.code, BAD_CREDENTIAL, "{}", outcome.error);
     });
--- a/crates/wire/src/handshake.rs
+++ b/crates/wire/src/handshake.rs
@@ -57,6 +57,14 @@
         Self { name, key }
     }
 
+    /// A credential that nobody knows.
+    fn draw() -> Result<Self, error::Error> {
+        Ok(Self {
+            name: name::Name::new(""),
+            key: nonce()?,
+        })
+    }
+
     /// The name of the credential.
     #[must_use]
     pub const fn name(&self) -> &name::Name {
@@ -163,10 +171,12 @@
         let (read, hello) = stream.read_exact(vec![0_u8; HELLO_BYTES]).await;
         read?;
         let name = name_in(&hello, role)?;
-        let credential = credentials
+        // A client with an unknown name is answered as well: it learns that its
+        // credential is not accepted, and not which names exist.
+        let known = credentials
             .iter()
-            .find(|credential| credential.name == name)
-            .ok_or(error::Error::Handshake("unknown credential"))?;
+            .find(|credential| credential.name == name);
+        let credential = known.cloned().map_or_else(Credential::draw, Ok)?;
         let nonce = nonce()?;
         let mut reply = nonce.to_vec();
         reply.extend_from_slice(&credential.proof(b"server", &hello, &nonce));
