Use the mimalloc allocator in the daemon

Cause: in a profile of a loaded node about a third of the samples were in the allocator of the C library (_int_malloc, malloc_consolidate, unlink_chunk), because each request allocates futures and buffers of several kilobytes.

The collapse under more load than the machine carries stays open.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -4,6 +4,12 @@
 
 use clap::Parser;
 use masticarch_daemon::{arguments, command};
+use mimalloc::MiMalloc;
+
+/// A request allocates futures and buffers of several kilobytes; with the
+/// allocator of the C library these took about a third of the node's time.
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
 
 fn main() -> ExitCode {
     let arguments = arguments::Arguments::parse();
