--- a/crates/kernel/tests/kernel.rs
+++ b/crates/kernel/tests/kernel.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use masticarch_kernel::{error, kernel, name, reply, runtime, task};
+use masticarch_kernel::{error, kernel, mailbox, name, reply, runtime, task};
 
 const ADDER: name::Name = name::Name::new("adder");
 const FIRST: name::Name = name::Name::new("first");
@@ -83,3 +83,30 @@
 
     assert_eq!(sum.unwrap(), Ok(2));
 }
+
+// Guards against tasks that share an address and wait for ever, or lose a
+// message, when the mailbox is full.
+#[test]
+fn all_messages_of_a_shared_address_arrive() {
+    const SENDERS: u32 = 20;
+    let received = runtime::run(async {
+        let (address, mut mailbox) = mailbox::Mailbox::new(1);
+        let address = Rc::new(address);
+        for number in 0..SENDERS {
+            let address = Rc::clone(&address);
+            monoio::spawn(async move { address.send(number).await });
+        }
+        drop(address);
+        // Lets every task send or wait before the first message is taken.
+        monoio::time::sleep(Duration::from_millis(10)).await;
+        let mut received = Vec::new();
+        while let Some(number) = mailbox.receive().await {
+            received.push(number);
+        }
+        received
+    });
+
+    let mut received = received.unwrap();
+    received.sort_unstable();
+    assert_eq!(received, (0..SENDERS).collect::<Vec<_>>());
+}
