--- a/crates/load/src/experiment/action.rs
+++ b/crates/load/src/experiment/action.rs
@@ -42,6 +42,8 @@
     CutPeers(proxy::fault::Cut),
     /// Puts a fault before the member ports of all control processes.
     FaultControls(proxy::Fault),
+    /// Withdraws a key by its number in the configuration, from 0.
+    WithdrawKey(usize),
 }
 
 /// An action and its moment since the start of the load.
@@ -74,6 +76,7 @@
             } => change_targets(&fleet.nodes[first..=last], change).await,
             Self::CutPeers(cut) => cut_peers(fleet, cut).await,
             Self::FaultControls(fault) => fault_controls(fleet, fault).await,
+            Self::WithdrawKey(index) => withdraw_key(fleet, index).await,
         }
     }
 }
@@ -130,3 +133,11 @@
     }
     Ok(())
 }
+
+async fn withdraw_key(fleet: &fleet::Fleet, index: usize) -> Result<(), error::Error> {
+    let (_, set) = fleet.operator.configuration().await?;
+    let key = set.keys.get(index);
+    let key = key.ok_or_else(|| error::Error::Missing(format!("key {index}")))?;
+    fleet.operator.withdraw(key.name.as_str()).await?;
+    Ok(())
+}
--- a/crates/load/src/experiment/measure.rs
+++ b/crates/load/src/experiment/measure.rs
@@ -70,6 +70,14 @@
         /// The share.
         share: f64,
     },
+    /// Seconds from a moment to the end of the last served request of a client;
+    /// infinite if none was served before that moment.
+    LastServed {
+        /// The client.
+        client: usize,
+        /// The moment.
+        from_ms: u64,
+    },
     /// Served requests of a client above rate × t + burst in any window.
     WindowExcess {
         /// The client.
@@ -154,7 +162,9 @@
                 *normal_until_ms *= factor;
                 *from_ms *= factor;
             }
-            Self::SuccessRecovery { from_ms, .. } => *from_ms *= factor,
+            Self::SuccessRecovery { from_ms, .. } | Self::LastServed { from_ms, .. } => {
+                *from_ms *= factor;
+            }
             _ => {}
         }
     }
@@ -194,6 +204,9 @@
             Self::SuccessRecovery { from_ms, share } => {
                 success_recovery(run, milliseconds(*from_ms), *share)
             }
+            Self::LastServed { client, from_ms } => {
+                last_served(run, *client, milliseconds(*from_ms))
+            }
             Self::WindowExcess {
                 client,
                 rate,
@@ -281,6 +294,19 @@
     f64::INFINITY
 }
 
+fn last_served(run: &trial::Trial, client: usize, from: Duration) -> f64 {
+    let served = || {
+        run.report
+            .of_team(client)
+            .filter(|record| record.is_served())
+    };
+    if !served().any(|record| record.ended < from) {
+        return f64::INFINITY;
+    }
+    let last = served().map(|record| record.ended).max().unwrap_or(from);
+    last.saturating_sub(from).as_secs_f64()
+}
+
 fn extra_executions(run: &trial::Trial, normal: &BTreeMap<String, u64>) -> f64 {
     let mut extra = BTreeMap::<&str, u64>::new();
     for (service, executions) in &run.executions {
--- a/crates/load/tests/experiment.rs
+++ b/crates/load/tests/experiment.rs
@@ -127,6 +127,19 @@
     }
 }
 
+// Guards against a withdrawn key that is said to be refused at once because
+// nothing was served with it before, or although it is served later.
+#[test]
+fn last_served_request_counts_from_the_moment() {
+    let from = |from_ms| measure::Measure::LastServed { client: 0, from_ms };
+
+    let never = take(&from(0), &outage(6_000));
+    let later = take(&from(4_000), &outage(0));
+
+    assert!(never.is_infinite(), "{never}");
+    assert!(later > 3.0, "{later}");
+}
+
 // Guards against extra executions that are hidden by other services' allowance.
 #[test]
 fn extra_executions_are_summed_over_services() {
