Hold whole answers, graceful shutdown and cancellation by tests

Cause: these guarantees had tests of single nodes, but none over several processes with control.

Ruled out: a fault of the shutdown. In the first run the cases of the entry node and of the sub-calls' target failed with 500 from the first target. The targets of the sub-calls had 70 slots, so that the cold limit (17 each) could not take 20 sub-calls that begin at the same moment.

Conclusion: no fault found in the product by these.

--- a/crates/testsuite/src/lib.rs
+++ b/crates/testsuite/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod arranged;
 pub mod caller;
 pub mod daemon;
+pub mod raw_target;
 pub mod tool;
--- /dev/null
+++ b/crates/testsuite/src/raw_target.rs
@@ -0,0 +1,133 @@
+//! A target that sends scripted bytes, which a correct server would never send.
+//!
+//! Every connection is served by a thread that owns its socket and tells what it
+//! sees as events. Requests are read up to the end of their head, so they must
+//! come without a body.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use masticarch_kernel::runtime;
+use masticarch_load::fleet::handle;
+use masticarch_load::http::connection;
+use masticarch_load::ports;
+
+/// Time between two announcements; the node forgets a target after 3 s.
+const INTERVAL: Duration = Duration::from_secs(1);
+/// Longest wait for the node to take an announcement.
+const TIMEOUT: Duration = Duration::from_millis(800);
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
+/// What the target does with each request.
+#[derive(Clone, Debug)]
+pub enum Script {
+    /// Sends these bytes and keeps the connection.
+    Send(Bytes),
+    /// Sends these bytes and closes the connection.
+    SendAndClose(Bytes),
+    /// Sends nothing.
+    Hold,
+}
+
+/// What the target has seen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// The head of a request arrived.
+    Request,
+    /// The node closed a connection.
+    Closed,
+}
+
+/// A running target. It stays until the test program ends.
+pub struct RawTarget {
+    address: SocketAddr,
+    events: mpsc::Receiver<Event>,
+}
+
+impl RawTarget {
+    /// Starts a target on the host of a node.
+    ///
+    /// # Panics
+    /// When no port is free.
+    #[must_use]
+    pub fn start(node: &handle::Node, script: &Script) -> Self {
+        let address = ports::free(node.settings.admin.ip()).expect("a port is free");
+        let listener = TcpListener::bind(address).expect("the port is still free");
+        let (sender, events) = mpsc::channel();
+        let script = script.clone();
+        thread::spawn(move || accept(&listener, &script, &sender));
+        Self { address, events }
+    }
+
+    /// Announces the target to a node as one of a service, again and again.
+    pub fn announce(&self, node: &handle::Node, service: &str) {
+        let admin = node.settings.admin;
+        let path = format!("/targets/{service}");
+        let body = format!(
+            r#"{{"address":"{}","slots":8,"connections":8,"state":"serving"}}"#,
+            self.address
+        );
+        thread::spawn(move || runtime::run(announce(admin, path, body.into())));
+    }
+
+    /// Waits for an event; `false` when it does not come in time.
+    #[must_use]
+    pub fn sees(&self, wanted: Event, limit: Duration) -> bool {
+        self.events.recv_timeout(limit) == Ok(wanted)
+    }
+}
+
+async fn announce(admin: SocketAddr, path: String, body: Bytes) {
+    loop {
+        let request = Request::put(path.as_str())
+            .header(http::header::HOST, "node")
+            .body(body.clone())
+            .expect("the path is valid");
+        let _ = monoio::time::timeout(TIMEOUT, connection::once(admin, request)).await;
+        monoio::time::sleep(INTERVAL).await;
+    }
+}
+
+fn accept(listener: &TcpListener, script: &Script, events: &mpsc::Sender<Event>) {
+    for stream in listener.incoming().flatten() {
+        let script = script.clone();
+        let events = events.clone();
+        thread::spawn(move || serve(stream, &script, &events));
+    }
+}
+
+fn serve(mut stream: TcpStream, script: &Script, events: &mpsc::Sender<Event>) {
+    while read_head(&mut stream) {
+        let _ = events.send(Event::Request);
+        let sent = match script {
+            Script::Hold => true,
+            Script::Send(bytes) => stream.write_all(bytes).is_ok(),
+            Script::SendAndClose(bytes) => {
+                let _ = stream.write_all(bytes);
+                return;
+            }
+        };
+        if !sent {
+            break;
+        }
+    }
+    let _ = events.send(Event::Closed);
+}
+
+/// Reads up to the end of a head; `false` when the connection closes before.
+fn read_head(stream: &mut TcpStream) -> bool {
+    let mut head = Vec::new();
+    let mut chunk = [0; 1024];
+    while !head.ends_with(HEAD_END) {
+        match stream.read(&mut chunk) {
+            Ok(0) | Err(_) => return false,
+            Ok(count) => head.extend_from_slice(&chunk[..count]),
+        }
+    }
+    true
+}
--- /dev/null
+++ b/crates/testsuite/tests/cancellation.rs
@@ -0,0 +1,86 @@
+//! A caller that goes away ends the work behind it.
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::Duration;
+
+use masticarch_kernel::runtime;
+use masticarch_load::fleet::{self, objects};
+use masticarch_load::standin::calls;
+use masticarch_testsuite::arranged;
+use masticarch_testsuite::raw_target::{Event, RawTarget, Script};
+use masticarch_wire::header;
+use rstest::rstest;
+
+const SEED: u64 = 101;
+/// Far below the timeout of the routes (2 s), at which the work would end too.
+const NOTICED: Duration = Duration::from_millis(1_000);
+
+struct Fixture {
+    fleet: fleet::Fleet,
+    key: String,
+    editions: RawTarget,
+}
+
+/// An entry node, a node with a target for orders that calls editions, and a
+/// node with a target for editions that never answers.
+async fn fixture() -> Fixture {
+    let mut objects = objects::Objects::new(SEED, &["normal"]);
+    let key = objects.team("collectors", 100.0, 100);
+    objects.route("orders", "normal", &["collectors"]);
+    objects.route("editions", "normal", &["collectors"]);
+    let mut orders = arranged::target("orders", 1.0);
+    orders.calls = calls::Plan {
+        paths: vec!["/editions".to_owned()],
+        ..calls::Plan::default()
+    };
+    let nodes = vec![
+        arranged::bare_node(),
+        arranged::node_with(orders),
+        arranged::bare_node(),
+    ];
+    let spec = fleet::Spec::builder().nodes(nodes).build();
+    let fleet = arranged::arrange(&spec, objects).await;
+    let editions = RawTarget::start(&fleet.nodes[2], &Script::Hold);
+    editions.announce(&fleet.nodes[2], "editions");
+    // Every node has to know the target, which is announced last.
+    monoio::time::sleep(Duration::from_secs(1)).await;
+    Fixture {
+        fleet,
+        key,
+        editions,
+    }
+}
+
+/// Sends a request and leaves the answer unread.
+fn send(fixture: &Fixture, path: &str) -> TcpStream {
+    let node = fixture.fleet.callers()[0];
+    let mut stream = TcpStream::connect(node).unwrap();
+    let head = format!(
+        "GET {path} HTTP/1.1\r\nhost: masticarch\r\n{}: {}\r\n\r\n",
+        header::KEY,
+        fixture.key
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    stream
+}
+
+// Guards against work for a caller that has gone away, which goes on until its
+// deadline while it holds a slot of the target.
+#[rstest]
+#[case::through_two_nodes("/editions")]
+#[case::behind_a_sub_call("/orders")]
+fn target_sees_its_connection_close(#[case] path: &str) {
+    let (running, closed) = runtime::run(async {
+        let fixture = fixture().await;
+
+        let stream = send(&fixture, path);
+        let running = fixture.editions.sees(Event::Request, NOTICED);
+        drop(stream);
+        (running, fixture.editions.sees(Event::Closed, NOTICED))
+    })
+    .unwrap();
+
+    assert!(running);
+    assert!(closed);
+}
--- /dev/null
+++ b/crates/testsuite/tests/shutdown.rs
@@ -0,0 +1,84 @@
+//! A graceful shutdown cuts off no request.
+
+use std::time::Duration;
+
+use futures::future;
+use http::StatusCode;
+use masticarch_kernel::runtime;
+use masticarch_load::fleet::{self, objects};
+use masticarch_load::standin::calls;
+use masticarch_testsuite::arranged;
+use masticarch_testsuite::caller::Caller;
+use rstest::rstest;
+
+const SEED: u64 = 111;
+/// Requests in flight when the node is asked to stop.
+const REQUESTS: usize = 20;
+/// Time of a request's own work, before its sub-call.
+const WORK_MS: f64 = 800.0;
+/// Moment at which the node is asked to stop; the sub-calls begin later.
+const STOP: Duration = Duration::from_millis(300);
+const LIMIT: Duration = Duration::from_secs(5);
+
+/// An entry node, a node with a target for orders that calls editions after its
+/// own work, and two nodes with a target for editions.
+async fn fixture() -> (fleet::Fleet, Caller) {
+    let mut objects = objects::Objects::new(SEED, &["normal"]);
+    let key = objects.team("collectors", 1_000.0, 1_000);
+    objects.route("orders", "normal", &["collectors"]).retries = 0;
+    objects.route("editions", "normal", &["collectors"]).retries = 0;
+    let mut orders = arranged::target("orders", WORK_MS);
+    orders.calls = calls::Plan {
+        paths: vec!["/editions".to_owned()],
+        order: calls::Order::After,
+        ..calls::Plan::default()
+    };
+    let mut editions = arranged::target("editions", 100.0);
+    // Enough slots for a cold limit, a quarter of them, to admit all at once.
+    orders.slots = 4 * REQUESTS;
+    editions.slots = 4 * REQUESTS;
+    let nodes = vec![
+        arranged::bare_node(),
+        arranged::node_with(orders),
+        arranged::node_with(editions.clone()),
+        arranged::node_with(editions),
+    ];
+    let spec = fleet::Spec::builder().nodes(nodes).build();
+    (
+        arranged::arrange(&spec, objects).await,
+        Caller::with_key(&key),
+    )
+}
+
+async fn terminate(node: &mut fleet::handle::Node) -> bool {
+    monoio::time::sleep(STOP).await;
+    node.process.terminate().unwrap();
+    let status = node.process.wait(LIMIT).await.unwrap();
+    status.is_some_and(|status| status.success())
+}
+
+// Guards against a node that stops, or refuses sub-calls of running requests,
+// while requests that it accepted still run. Routes have no retries, so that a
+// lost attempt shows.
+#[rstest]
+#[case::entry_node(0)]
+#[case::target_node(1)]
+#[case::target_node_of_the_sub_calls(2)]
+fn requests_in_flight_end_whole(#[case] node: usize) {
+    let (answers, success) = runtime::run(async {
+        let (mut fleet, caller) = fixture().await;
+        let entry = fleet.callers()[0];
+
+        let posts = (0..REQUESTS).map(|_| caller.send(entry, "/orders", "order", &[]));
+        let stop = terminate(&mut fleet.nodes[node]);
+        future::join(future::join_all(posts), stop).await
+    })
+    .unwrap();
+
+    for answer in answers {
+        let answer = answer.expect("the answer is whole");
+        assert_eq!(answer.status(), StatusCode::OK, "{answer:?}");
+        assert_eq!(answer.body().as_ref(), b"order");
+    }
+    assert!(success);
+}
