Test that a target's node leaves under load without a loss

Cause: the requests between the SIGTERM and the moment at which the other nodes know of it were held by no test.

Change: a steady load through the entry node, on a route without retries, while one of two nodes with a target stops; every request must be served. The constant is stated in seconds; its value is the same.

--- a/crates/testsuite/tests/cancellation.rs
+++ b/crates/testsuite/tests/cancellation.rs
@@ -14,7 +14,7 @@
 
 const SEED: u64 = 101;
 /// Far below the timeout of the routes (2 s), at which the work would end too.
-const NOTICED: Duration = Duration::from_millis(1_000);
+const NOTICED: Duration = Duration::from_secs(1);
 
 struct Fixture {
     fleet: fleet::Fleet,
--- a/crates/testsuite/tests/shutdown.rs
+++ b/crates/testsuite/tests/shutdown.rs
@@ -6,6 +6,7 @@
 use http::StatusCode;
 use masticarch_kernel::runtime;
 use masticarch_load::fleet::{self, objects};
+use masticarch_load::generator::{self, plan, record};
 use masticarch_load::standin::calls;
 use masticarch_testsuite::arranged;
 use masticarch_testsuite::caller::Caller;
@@ -22,7 +23,7 @@
 
 /// An entry node, a node with a target for orders that calls editions after its
 /// own work, and two nodes with a target for editions.
-async fn fixture() -> (fleet::Fleet, Caller) {
+async fn fixture() -> (fleet::Fleet, String) {
     let mut objects = objects::Objects::new(SEED, &["normal"]);
     let key = objects.team("collectors", 1_000.0, 1_000);
     objects.route("orders", "normal", &["collectors"]).retries = 0;
@@ -44,10 +45,28 @@
         arranged::node_with(editions),
     ];
     let spec = fleet::Spec::builder().nodes(nodes).build();
-    (
-        arranged::arrange(&spec, objects).await,
-        Caller::with_key(&key),
-    )
+    (arranged::arrange(&spec, objects).await, key)
+}
+
+/// A steady load on editions through the entry node.
+fn load(fleet: &fleet::Fleet, key: String) -> generator::Plan {
+    let mut team = generator::Team::builder()
+        .name("collectors")
+        .path("/editions")
+        .rate(50.0)
+        .entries(vec![0])
+        .build();
+    team.key = Some(key);
+    let phase = plan::Phase {
+        duration_ms: 3_000,
+        factor: 1.0,
+    };
+    generator::Plan::builder()
+        .entries(fleet.callers())
+        .seed(SEED)
+        .phases(vec![phase])
+        .teams(vec![team])
+        .build()
 }
 
 async fn terminate(node: &mut fleet::handle::Node) -> bool {
@@ -66,7 +85,8 @@
 #[case::target_node_of_the_sub_calls(2)]
 fn requests_in_flight_end_whole(#[case] node: usize) {
     let (answers, success) = runtime::run(async {
-        let (mut fleet, caller) = fixture().await;
+        let (mut fleet, key) = fixture().await;
+        let caller = Caller::with_key(&key);
         let entry = fleet.callers()[0];
 
         let posts = (0..REQUESTS).map(|_| caller.send(entry, "/orders", "order", &[]));
@@ -82,3 +102,26 @@
     }
     assert!(success);
 }
+
+// Guards against requests that are lost between a node's decision to leave and
+// the moment at which the other nodes know of it.
+#[test]
+fn target_node_leaves_under_load_without_a_loss() {
+    let (report, success) = runtime::run(async {
+        let (mut fleet, key) = fixture().await;
+        let load = load(&fleet, key);
+
+        let stop = terminate(&mut fleet.nodes[2]);
+        let (report, success) = future::join(generator::run(load), stop).await;
+        (report.unwrap(), success)
+    })
+    .unwrap();
+
+    let lost: Vec<_> = report
+        .requests()
+        .filter(|record| !record::Record::is_served(record))
+        .collect();
+    assert!(lost.is_empty(), "{lost:?}");
+    assert!(report.requests().count() > 100);
+    assert!(success);
+}
