--- a/crates/testsuite/src/lib.rs
+++ b/crates/testsuite/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod daemon;
 pub mod group;
 pub mod operation;
+pub mod raw_target;
 pub mod tool;
 pub mod watch;
 pub mod writer;
