Retry server errors of idempotent requests, and count each retry once

Retries were counted twice, in the gate and in the caller's task.

Ruled out: retrying answers of non-idempotent routes.

Change: a server error on an idempotent route is reported to the gate, which grants a further attempt within the credit; without one the answer is passed on.

--- a/crates/node/src/caller/handler.rs
+++ b/crates/node/src/caller/handler.rs
@@ -148,17 +148,17 @@
             let begun = Instant::now();
             let outcome = attempt::make(services, admission, &choice, request).await;
             let report = attempt::report(&outcome, begun.elapsed());
-            if outcome.result.is_ok() {
+            if is_final(&outcome, admission) {
                 settle(hold, &outcome);
                 flight.end(Some(report));
                 return outcome.result.map(|answer| complete(answer, admission));
             }
             // The gate has the report of this attempt from here on.
             flight.reported();
-            let Some(next) = self.next(admission, &outcome, report).await else {
+            let Some(next) = self.next(admission, report).await else {
                 settle(hold, &outcome);
                 flight.end(None);
-                return outcome.result;
+                return outcome.result.map(|answer| complete(answer, admission));
             };
             choice = next;
         }
@@ -167,14 +167,10 @@
     async fn next(
         &self,
         admission: &admission::Admission,
-        outcome: &job::Outcome,
         report: report::Report,
     ) -> Option<choice::Choice> {
-        let refusal = outcome.result.as_ref().err()?;
         let ask = |slot| message::Message::Next(admission.request, report, slot);
-        let choice = self.services.gate.ask(ask).await.ok().flatten()?;
-        self.services.metrics.retried(refusal.code);
-        Some(choice)
+        self.services.gate.ask(ask).await.ok().flatten()
     }
 }
 
@@ -219,6 +215,15 @@
     }
 }
 
+/// Whether no other attempt may follow an outcome. A whole answer ends the
+/// request, unless it says that the target failed and the request may run again.
+fn is_final(outcome: &job::Outcome, admission: &admission::Admission) -> bool {
+    outcome
+        .result
+        .as_ref()
+        .is_ok_and(|answer| !(answer.status.is_server_error() && admission.idempotent))
+}
+
 fn settle(hold: Option<hold::Hold>, outcome: &job::Outcome) {
     if let Some(hold) = hold {
         hold.settle(&outcome.result);
