Refuse as not current, not as over rate, without a lease

Cause: a node whose lease had ended, up to a second before its configuration stopped being current, told teams within their rate that they were over it.

Ruled out: a longer lease, which would make every change of leader wait longer.

--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -29,7 +29,7 @@
     DeadlineExceeded,
     /// The node or the target is leaving.
     Draining,
-    /// The node cannot show that its configuration is current.
+    /// The node cannot show that its configuration and its share of the rate are current.
     NotCurrent,
     /// The retry credit of the call tree is used up.
     RetryBudget,
--- a/crates/node/src/gate/denial.rs
+++ b/crates/node/src/gate/denial.rs
@@ -14,7 +14,10 @@
 /// Refuses a request. The asker may have gone away.
 pub fn send(reply: pending::Reply, code: code::Code) {
     let mut refusal = refusal::Refusal::new(code, detail(code));
-    let passes = matches!(code, code::Code::OverRate | code::Code::Overloaded);
+    let passes = matches!(
+        code,
+        code::Code::OverRate | code::Code::Overloaded | code::Code::NotCurrent
+    );
     refusal.retry_after = passes.then_some(RETRY_AFTER);
     let _ = reply.send(Err(refusal));
 }
@@ -32,7 +35,9 @@
         code::Code::NoTarget => "no usable target serves the route",
         code::Code::DeadlineExceeded => "the deadline has passed",
         code::Code::Draining => "the node is leaving",
-        code::Code::NotCurrent => "the node cannot show that its configuration is current",
+        code::Code::NotCurrent => {
+            "the node cannot show that its configuration and its share of the rate are current"
+        }
         _ => "the request cannot run at present",
     }
 }
--- a/crates/node/src/gate/state.rs
+++ b/crates/node/src/gate/state.rs
@@ -193,11 +193,23 @@
             decision::Decision::Pass(pending) => self.start(pending, now),
             decision::Decision::Wait => {}
             decision::Decision::Refuse(pending) => {
-                denial::send(pending.reply, code::Code::OverRate);
+                let code = self.rate_denial(&pending, now);
+                denial::send(pending.reply, code);
             }
         }
     }
 
+    /// Why a request got no token. A node whose lease has ended, or which has
+    /// not got one yet, cannot say that the team is over its rate.
+    fn rate_denial(&self, pending: &pending::Pending, now: Instant) -> code::Code {
+        let team = pending.team.as_ref();
+        if team.is_some_and(|team| self.teams.is_leased(team, now)) {
+            code::Code::OverRate
+        } else {
+            code::Code::NotCurrent
+        }
+    }
+
     /// Sheds the request or chooses its first target.
     fn start(&mut self, pending: pending::Pending, now: Instant) {
         if pending.reply.is_canceled() {
--- a/crates/node/src/gate/teams.rs
+++ b/crates/node/src/gate/teams.rs
@@ -64,6 +64,12 @@
         (decision, urgent)
     }
 
+    /// Whether the node knows its share of a team's limit.
+    pub fn is_leased(&self, name: &name::Name, now: Instant) -> bool {
+        let slot = self.names.get(name);
+        slot.is_some_and(|slot| self.arena[*slot].holder.is_leased(now))
+    }
+
     /// Gives back the token of a request that passed and did not run.
     pub fn refund(&mut self, name: &name::Name, now: Instant) {
         let Some(slot) = self.names.get(name).copied() else {
--- a/crates/node/tests/gate.rs
+++ b/crates/node/tests/gate.rs
@@ -109,6 +109,17 @@
     assert_eq!(code_of(second), Some(code::Code::OverRate));
 }
 
+// Guards against a team that is told to be over its rate by a node that does not
+// know its share.
+#[test]
+fn request_without_a_lease_is_refused_as_not_current() {
+    let outcome = fixture::with_gate(true, &fixture::view(1, 2), |gate| async move {
+        gate.begin(fixture::keyed("/alertas", 1)).await
+    });
+
+    assert_eq!(code_of(outcome), Some(code::Code::NotCurrent));
+}
+
 // Guards against a lease task that polls, or that waits for a renewal although
 // a team has no share.
 #[test]
--- a/crates/policy/src/share/holder.rs
+++ b/crates/policy/src/share/holder.rs
@@ -157,12 +157,18 @@
         urgent.then(|| reported.at + URGENT_INTERVAL)
     }
 
+    /// Whether the node knows its share, even one of nothing. Without a lease a
+    /// refusal says nothing about the team's rate.
+    #[must_use]
+    pub fn is_leased(&self, now: Instant) -> bool {
+        self.expires.is_some_and(|at| at > now)
+    }
+
     /// Whether there is nothing to report on the team.
     #[must_use]
     pub fn is_idle(&self, now: Instant) -> bool {
         let unused = self.demand.per_second(now) < IDLE_PER_SECOND;
-        let leased = self.expires.is_some_and(|at| at > now);
-        let holds = leased && (self.bucket.has_share() || self.released > 0.0);
+        let holds = self.is_leased(now) && (self.bucket.has_share() || self.released > 0.0);
         unused && !holds && self.waiting.is_empty()
     }
 
--- a/crates/testsuite/tests/control_keys.rs
+++ b/crates/testsuite/tests/control_keys.rs
@@ -135,7 +135,8 @@
 
         let cut = Instant::now();
         for control in &fixture.fleet.controls {
-            control.proxy.as_ref().unwrap().apply(stall).await.unwrap();
+            // Redirects to the leader lead through the links between members.
+            control.fault(stall).await.unwrap();
         }
         let mut lasted = Duration::ZERO;
         while cut.elapsed() < CURRENT + 2 * SLACK {
