Define the length of a lease once

Cause: holder and owner of shares each stated 5 s; the fleet's rate bound rests on the owner counting longer than the holder uses.

Change: the holder takes the constant of the lease. Behaviour is unchanged.

--- a/crates/policy/src/share/holder.rs
+++ b/crates/policy/src/share/holder.rs
@@ -3,11 +3,11 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use crate::share::{Share, bucket, decision, demand, report};
+use crate::share::{Share, bucket, decision, demand, lease, report};
 
 /// Time for which a share is leased, counted by the node from before it sent
 /// the request that was granted.
-pub const LEASE: Duration = Duration::from_secs(5);
+pub const LEASE: Duration = lease::LEASE;
 /// Shortest time between two reports because of changed demand.
 pub const URGENT_INTERVAL: Duration = Duration::from_millis(250);
 /// Part by which demand must change for an urgent report.
