--- a/crates/agreement/src/agreement/mod.rs
+++ b/crates/agreement/src/agreement/mod.rs
@@ -1,6 +1,7 @@
 //! The state machine of one member.
 
 mod election;
+mod enrolment;
 mod following;
 mod leading;
 
--- a/crates/cli/src/command/list.rs
+++ b/crates/cli/src/command/list.rs
@@ -99,6 +99,7 @@
     let mut table = output::Table::new(titles);
     for entry in &present.routes {
         let access = match &entry.access {
+            access::Access::Keyed => "any key".to_owned(),
             access::Access::Open => "open".into(),
             access::Access::Teams(teams) => {
                 let names: Vec<_> = teams.iter().map(ToString::to_string).collect();
--- a/crates/client/src/client.rs
+++ b/crates/client/src/client.rs
@@ -133,6 +133,7 @@
         edits: Vec<edit::Edit>,
     ) -> Result<change::Change, error::Error> {
         Ok(change::Change {
+            document: None,
             id: u128::from_ne_bytes(draw::bytes()?),
             expected,
             operator: self.settings.credential.name().clone(),
--- a/crates/control/examples/capacity.rs
+++ b/crates/control/examples/capacity.rs
@@ -94,6 +94,10 @@
 fn stored_route(size: Size, index: u32) -> route::Route {
     let allowed = (0..8).map(|step| team_name((index * 8 + step) % size.teams).as_str().into());
     route::Route {
+        host: None,
+        split: Vec::new(),
+        attempts: None,
+        latency_target: None,
         name: format!("route-{index:05}").as_str().into(),
         path: format!("/service-{index:05}/resource").into(),
         service: format!("service-{:04}", index % size.services)
@@ -120,6 +124,7 @@
         }],
         teams: (0..size.teams)
             .map(|index| team::Team {
+                priority: None,
                 name: team_name(index).as_str().into(),
                 limit: "small".into(),
                 weight: 1,
@@ -136,6 +141,7 @@
 
 fn change(id: u32, expected: version::Version, edits: Vec<edit::Edit>) -> command::Command {
     command::Command::Change(change::Change {
+        document: None,
         id: u128::from(id),
         expected,
         operator: "admin".into(),
@@ -423,6 +429,7 @@
 fn print_memory(size: Size) {
     let empty = resident();
     let view = view::View {
+        control: Vec::new(),
         version: version::Version(1),
         configuration_version: version::Version(1),
         configuration: configuration(size),
--- a/crates/control/src/agreement/event.rs
+++ b/crates/control/src/agreement/event.rs
@@ -1,5 +1,7 @@
 //! What the log tells the owner of the replicated state.
 
+use std::net::SocketAddr;
+
 use masticarch_kernel::reply;
 
 /// A state and the log index up to which it is complete.
@@ -37,6 +39,9 @@
     /// The entry at this index is committed; an empty one holds no command.
     /// Sent in the order of the log, without gaps.
     Committed(u64, Vec<u8>),
+    /// The members of the group at this index, by their addresses. Counts in the
+    /// order of [`Self::Committed`].
+    Members(u64, Vec<SocketAddr>),
     /// Replaces the state.
     Install(Snapshot),
     /// Asks for the state; `None` when it cannot be encoded.
--- a/crates/control/src/agreement/service.rs
+++ b/crates/control/src/agreement/service.rs
@@ -21,6 +21,8 @@
 /// Entries between snapshots. Bounds what a restart has to apply, however many
 /// changes came before.
 const SNAPSHOT_ENTRIES: u64 = 4096;
+/// Time after which a silent voter gives way to a process that waits for a seat.
+const SILENCE: Duration = Duration::from_secs(2);
 /// Requests taken at once, so that they share a write and a round.
 const BURST: usize = 256;
 
@@ -64,6 +66,8 @@
     /// Term of which the owner of the state was told that this member leads.
     leading: Option<term::Term>,
     failed: bool,
+    /// Most members that vote.
+    seats: usize,
 }
 
 impl<E, O> Service<E, O>
@@ -87,7 +91,7 @@
         let agreement = agreement::Agreement::new(id, agreed, recovered, random, Duration::ZERO);
         Self {
             id,
-            address: options.advertised.unwrap_or(options.member),
+            address: options.reachable(),
             senders: map::Map::default(),
             start: Instant::now(),
             agreement,
@@ -100,6 +104,7 @@
             snapshot: None,
             leading: None,
             failed: false,
+            seats: options.seats,
         }
     }
 
@@ -211,14 +216,46 @@
             return;
         }
         match wire::decode::<envelope::Envelope>(bytes) {
-            Ok(envelope::Envelope { address, message }) => {
+            Ok(envelope::Envelope::Agreement(address, message)) => {
                 self.senders.insert(message.from, address);
                 self.agreement.receive(self.start.elapsed(), message);
             }
+            Ok(envelope::Envelope::Enrolment(newcomer, passage)) => self.enrol(newcomer, passage),
             Err(failure) => tracing::warn!(error = %failure, "agreement message dropped"),
         }
     }
 
+    /// Takes the next step towards a vote for a process that asks to take part.
+    /// The process asks again, so a step that is refused now needs no answer.
+    fn enrol(&mut self, newcomer: member::Member, passage: envelope::Passage) {
+        match self.agreement.enrol(&newcomer, self.seats, SILENCE) {
+            Ok(Some(position)) => tracing::info!(
+                member = newcomer.id.0,
+                address = %newcomer.address,
+                index = position.index.0,
+                "member taken in by a further step"
+            ),
+            Err(refusal::Refusal::NotLeader(Some(leader)))
+                if passage == envelope::Passage::Direct =>
+            {
+                self.forward(leader, newcomer);
+            }
+            _ => {}
+        }
+    }
+
+    /// Passes a request to take part on to the leader.
+    fn forward(&self, to: member::Id, newcomer: member::Member) {
+        let Some(address) = self.address_of(to) else {
+            return;
+        };
+        let envelope = envelope::Envelope::Enrolment(newcomer, envelope::Passage::Forwarded);
+        let bytes = wire::encode(&envelope);
+        let _ = self
+            .outbound
+            .try_send(outgoing::Outgoing { to, address, bytes }.into());
+    }
+
     fn tick(&mut self) {
         self.waiting.forget_abandoned();
         self.agreement.tick(self.start.elapsed());
@@ -297,10 +334,7 @@
             };
             let to = message.to;
 
-            let bytes = wire::encode(&envelope::Envelope {
-                address: self.address,
-                message,
-            });
+            let bytes = wire::encode(&envelope::Envelope::Agreement(self.address, message));
             let outgoing = outgoing::Outgoing { to, address, bytes };
             // A full mailbox counts as a loss, which the agreement makes good.
             let _ = self.outbound.try_send(outgoing.into());
@@ -346,13 +380,17 @@
 
     async fn commit(&mut self, entry: entry::Entry) -> Result<(), error::Error> {
         let position = entry.position;
-        let command = match entry.payload {
-            payload::Payload::Command(command) => command,
-            payload::Payload::Empty | payload::Payload::Members(_) => Vec::new(),
+        let index = position.index.0;
+        let event = match entry.payload {
+            payload::Payload::Command(command) => event::Event::Committed(index, command),
+            payload::Payload::Empty => event::Event::Committed(index, Vec::new()),
+            payload::Payload::Members(members) => {
+                let addresses = members.iter().map(|member| member.address);
+                event::Event::Members(index, addresses.collect())
+            }
         };
         self.sent = position.index;
-        self.tell(event::Event::Committed(position.index.0, command))
-            .await?;
+        self.tell(event).await?;
         self.waiting.committed(position);
         Ok(())
     }
--- a/crates/control/src/name.rs
+++ b/crates/control/src/name.rs
@@ -18,6 +18,8 @@
 pub const OPERATOR: Name = Name::new("operator");
 /// Listener for metrics and health.
 pub const ADMIN: Name = Name::new("admin");
+/// Task that asks the group to take this process in.
+pub const ENROLMENT: Name = Name::new("enrolment");
 /// Task that removes silent nodes.
 pub const EXPIRY: Name = Name::new("expiry");
 /// Task that forgets settled claims.
--- a/crates/control/src/options.rs
+++ b/crates/control/src/options.rs
@@ -10,7 +10,9 @@
 /// What a control process is started with.
 #[derive(Clone, Debug, Builder)]
 pub struct Options {
-    /// Identity of this member; a replaced disk needs a new one.
+    /// Identity of this member; a replaced disk needs a new one. Not used
+    /// with `seeds`.
+    #[builder(default = member::Id(0))]
     pub id: member::Id,
     /// Listening address for members and nodes.
     pub member: SocketAddr,
@@ -23,8 +25,21 @@
     /// Data directory.
     pub data: PathBuf,
     /// The first members of the group, this one included. Used only when the
-    /// data directory is new.
+    /// data directory is new, and not with `seeds`.
+    #[builder(default)]
     pub members: Vec<member::Member>,
+    /// Member ports of processes through which this one finds the group. With
+    /// them the group forms and repairs itself: a process with an empty data
+    /// directory draws an id and asks to take part.
+    #[builder(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Whether the whole group starts for the first time, so that the seeds
+    /// are its first members.
+    #[builder(default)]
+    pub first_start: bool,
+    /// Most members that vote.
+    #[builder(default = 5)]
+    pub seats: usize,
     /// Whether the data directory may be new. Otherwise an empty one stops the
     /// start, because a lost disk must not vote as if it remembered.
     #[builder(default)]
@@ -37,3 +52,11 @@
     /// Credentials of the operators.
     pub operators: Vec<handshake::Credential>,
 }
+
+impl Options {
+    /// Address under which others reach the member port.
+    #[must_use]
+    pub fn reachable(&self) -> SocketAddr {
+        self.advertised.unwrap_or(self.member)
+    }
+}
--- a/crates/control/src/registry/message.rs
+++ b/crates/control/src/registry/message.rs
@@ -1,8 +1,10 @@
 //! What the log and the other services ask of the registry.
 
+use std::net::SocketAddr;
+
 use masticarch_kernel::reply;
 use masticarch_model::{
-    catalog, change, claim, incarnation, name, node, outcome, target, version, view,
+    catalog, change, claim, document, incarnation, name, node, outcome, target, version, view,
 };
 
 use super::{answer, presence};
@@ -14,6 +16,8 @@
     /// The entry at this index is committed; an empty one holds no command.
     /// Sent in the order of the log.
     Committed(u64, Vec<u8>),
+    /// See [`event::Event::Members`].
+    Members(u64, Vec<SocketAddr>),
     /// Replaces the catalog.
     Install(event::Snapshot),
     /// Encodes the catalog; `None` when it cannot be encoded.
@@ -45,12 +49,15 @@
     History(u32, reply::Reply<Vec<catalog::Record>>),
     /// The whole view.
     View(reply::Reply<view::View>),
+    /// Reads the document that the present configuration was made from.
+    Document(reply::Reply<Option<document::Document>>),
 }
 
 impl From<event::Event> for Message {
     fn from(event: event::Event) -> Self {
         match event {
             event::Event::Committed(index, command) => Self::Committed(index, command),
+            event::Event::Members(index, addresses) => Self::Members(index, addresses),
             event::Event::Install(snapshot) => Self::Install(snapshot),
             event::Event::TakeSnapshot(reply) => Self::TakeSnapshot(reply),
             event::Event::Role(leadership) => Self::Role(leadership),
--- a/crates/control/src/registry/service.rs
+++ b/crates/control/src/registry/service.rs
@@ -66,7 +66,13 @@
     /// Handles one message. Nobody waiting for a reply any more is no error.
     async fn handle(&mut self, message: message::Message) {
         match message {
-            message::Message::Committed(index, bytes) => self.commit(index, &bytes).await,
+            message::Message::Committed(index, bytes) => {
+                self.commit(index, decode(index, &bytes)).await;
+            }
+            message::Message::Members(index, addresses) => {
+                let command = command::Command::Control(addresses);
+                self.commit(index, Some(command)).await;
+            }
             message::Message::Install(snapshot) => self.install(snapshot).await,
             message::Message::Role(leadership) => self.change_role(leadership).await,
             message::Message::Outcome(index, reply) => self.outcomes.answer(index, reply),
@@ -108,7 +114,11 @@
             message::Message::View(reply) => {
                 let _ = reply.send(self.catalog.view().clone());
             }
+            message::Message::Document(reply) => {
+                let _ = reply.send(self.catalog.document().cloned());
+            }
             message::Message::Committed(..)
+            | message::Message::Members(..)
             | message::Message::Install(..)
             | message::Message::Role(_)
             | message::Message::Outcome(..)
@@ -116,7 +126,7 @@
         }
     }
 
-    async fn commit(&mut self, index: u64, bytes: &[u8]) {
+    async fn commit(&mut self, index: u64, command: Option<command::Command>) {
         if index <= self.catalog.version().0 {
             return;
         }
@@ -125,7 +135,7 @@
         }
         let configured = self.catalog.view().configuration_version;
         let published = self.catalog.published();
-        self.apply(index, bytes);
+        self.apply(index, command);
         self.metrics.applied(index);
         if self.catalog.published() != published {
             self.polls.wake(&self.catalog);
@@ -135,24 +145,14 @@
         }
     }
 
-    fn apply(&mut self, index: u64, bytes: &[u8]) {
-        if bytes.is_empty() {
+    fn apply(&mut self, index: u64, command: Option<command::Command>) {
+        let Some(command) = command else {
             self.catalog.advance(index);
             self.outcomes.push(None);
             return;
-        }
-        match wire::decode::<command::Command>(bytes) {
-            Ok(command) => {
-                let outcome = self.catalog.apply(index, command);
-                self.outcomes.push(Some(outcome));
-            }
-            Err(error) => {
-                // Every member skips the entry, so that the catalogs stay equal.
-                tracing::error!(index, %error, "entry of the log cannot be decoded");
-                self.catalog.advance(index);
-                self.outcomes.push(None);
-            }
-        }
+        };
+        let outcome = self.catalog.apply(index, command);
+        self.outcomes.push(Some(outcome));
     }
 
     async fn install(&mut self, snapshot: log::Snapshot) {
@@ -234,6 +234,17 @@
     }
 }
 
+/// The command of an entry, if it holds one. Every member skips an entry that
+/// cannot be decoded, so that the catalogs stay equal.
+fn decode(index: u64, bytes: &[u8]) -> Option<command::Command> {
+    if bytes.is_empty() {
+        return None;
+    }
+    wire::decode(bytes)
+        .inspect_err(|error| tracing::error!(index, %error, "entry of the log cannot be decoded"))
+        .ok()
+}
+
 /// The limits of all teams.
 fn limits(catalog: &catalog::Catalog) -> Vec<lease::Limit> {
     let set = &catalog.view().configuration;
--- a/crates/control/src/role.rs
+++ b/crates/control/src/role.rs
@@ -6,8 +6,8 @@
 use masticarch_kernel::{kernel, stop};
 
 use crate::{
-    admin, agreement, allotment, error, journal, listener, member, membership, metrics, name,
-    operator, options, outbound, registry, services,
+    admin, agreement, allotment, enrolment, error, formation, journal, listener, member,
+    membership, metrics, name, operator, options, outbound, registry, services,
 };
 
 /// Messages that a mailbox holds before its senders wait.
@@ -20,11 +20,25 @@
 /// # Errors
 /// [`error::Error`] when a port cannot be opened or a service not be connected.
 pub async fn run(options: options::Options, stop: stop::Stop) -> Result<(), error::Error> {
+    run_with(options, stop, |_, _| Ok(())).await
+}
+
+/// Runs the control role as [`run`] does. `extend` starts further services.
+///
+/// # Errors
+/// As [`run`], and the errors of `extend`.
+pub async fn run_with(
+    options: options::Options,
+    stop: stop::Stop,
+    extend: impl FnOnce(&mut kernel::Kernel, &services::Services) -> Result<(), error::Error>,
+) -> Result<(), error::Error> {
+    let options = formation::complete(options).map_err(error::Error::Journal)?;
     let ports = Ports::open(&options)?;
     let journal = journal::Journal::open(&options)?;
     let mut kernel = kernel::Kernel::new();
     let services = start_owners(&mut kernel, &options, journal)?;
     start_ports(&mut kernel, ports, &services, options);
+    extend(&mut kernel, &services)?;
     tracing::info!("control role started");
     stop.wait().await;
     kernel.shutdown(STOP_LIMIT).await;
@@ -71,6 +85,11 @@
             .lookup::<agreement::outgoing::Outgoing>(name::OUTBOUND)?,
     );
     kernel.start(name::AGREEMENT, |stop| state.run(agreement, stop));
+    if !options.seeds.is_empty() {
+        let outbound = kernel.registry().lookup(name::OUTBOUND)?;
+        let asking = enrolment::Enrolment::new(options, services.log.clone(), outbound);
+        kernel.start(name::ENROLMENT, |stop| asking.run(stop));
+    }
     let connections = outbound::service::Service::new(options.credential.clone());
     kernel.start(name::OUTBOUND, |stop| connections.run(outbound, stop));
     let owner = registry::service::Service::new(
--- a/crates/control/tests/group/mod.rs
+++ b/crates/control/tests/group/mod.rs
@@ -195,6 +195,7 @@
                 state.index = index;
                 state.commands.extend(command);
             }
+            event::Event::Members(index, _) => state.index = index,
             event::Event::Install(snapshot) => {
                 state.index = snapshot.index;
                 state.commands = snapshot.bytes;
--- a/crates/daemon/src/command/local.rs
+++ b/crates/daemon/src/command/local.rs
@@ -188,6 +188,10 @@
 /// A route with a key and a route open to all, to the example target.
 fn example_configuration(key: &secret::Secret) -> configuration::Configuration {
     let route = |name: &str, path: &str, access| route::Route {
+        host: None,
+        split: Vec::new(),
+        attempts: None,
+        latency_target: None,
         name: name.into(),
         path: path.into(),
         service: SERVICE.into(),
@@ -208,6 +212,7 @@
             burst: 100,
         }],
         teams: vec![team::Team {
+            priority: None,
             name: "example".into(),
             limit: "small".into(),
             weight: 1,
--- a/crates/daemon/src/command/mod.rs
+++ b/crates/daemon/src/command/mod.rs
@@ -3,7 +3,7 @@
 pub mod control;
 pub mod local;
 pub mod node;
-mod serve;
+pub mod serve;
 
 use crate::{arguments, error};
 
--- a/crates/load/src/fleet/objects.rs
+++ b/crates/load/src/fleet/objects.rs
@@ -43,6 +43,7 @@
             burst,
         });
         self.set.teams.push(team::Team {
+            priority: None,
             name: name.clone(),
             limit: name.clone(),
             weight: 1,
@@ -66,6 +67,10 @@
             access::Access::Teams(teams.iter().map(|text| name::Name::new(text)).collect())
         };
         self.set.routes.push(route::Route {
+            host: None,
+            split: Vec::new(),
+            attempts: None,
+            latency_target: None,
             name: name::Name::new(service),
             path: format!("/{service}").into(),
             service: name::Name::new(service),
--- a/crates/load/src/fleet/operator.rs
+++ b/crates/load/src/fleet/operator.rs
@@ -132,6 +132,7 @@
     pub async fn change(&self, edits: Vec<edit::Edit>) -> Result<version::Version, error::Error> {
         let (expected, _) = self.configuration().await?;
         let change = change::Change {
+            document: None,
             id: fastrand::u128(..),
             expected,
             operator: self.credential.name().clone(),
--- a/crates/model/src/access.rs
+++ b/crates/model/src/access.rs
@@ -10,6 +10,8 @@
 pub enum Access {
     /// Every caller, with or without a key.
     Open,
+    /// Callers with a key of any team.
+    Keyed,
     /// Callers with a key of one of these teams.
     Teams(Vec<name::Name>),
 }
--- a/crates/model/src/catalog/reference.rs
+++ b/crates/model/src/catalog/reference.rs
@@ -87,7 +87,7 @@
     });
     let access = set.routes.iter().flat_map(|entry| {
         let teams = match &entry.access {
-            access::Access::Open => &[][..],
+            access::Access::Open | access::Access::Keyed => &[][..],
             access::Access::Teams(teams) => teams,
         };
         teams.iter().map(|team| Reference {
--- a/crates/model/src/change.rs
+++ b/crates/model/src/change.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{edit, name, version};
+use crate::{document, edit, name, version};
 
 /// A change to the configuration, as an operator sends it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -15,4 +15,7 @@
     pub operator: name::Name,
     /// Steps, applied and checked together.
     pub edits: Vec<edit::Edit>,
+    /// The document that the edits were made from. Its numbers are compared
+    /// in place of `expected`.
+    pub document: Option<document::Document>,
 }
--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -71,6 +71,8 @@
     TargetFailed,
     /// The target did not answer before the deadline.
     TargetTimeout,
+    /// The target itself refused the request, which did not run.
+    TargetRefused,
     /// A field names an object that does not exist.
     DanglingName,
     /// Two objects of one kind have the same name.
@@ -156,6 +158,7 @@
         Self::AnswerTooLarge,
         Self::TargetFailed,
         Self::TargetTimeout,
+        Self::TargetRefused,
         Self::DanglingName,
         Self::DuplicateName,
         Self::Cycle,
@@ -205,6 +208,7 @@
             Self::AnswerTooLarge => row(1108, "answer_too_large", 502, ran::Ran::Yes),
             Self::TargetFailed => row(1109, "target_failed", 502, ran::Ran::Unknown),
             Self::TargetTimeout => row(1110, "target_timeout", 504, ran::Ran::Unknown),
+            Self::TargetRefused => row(1111, "target_refused", 503, ran::Ran::No),
             Self::DanglingName => row(2001, "dangling_name", INTERNAL, ran::Ran::No),
             Self::DuplicateName => row(2002, "duplicate_name", INTERNAL, ran::Ran::No),
             Self::Cycle => row(2003, "cycle", INTERNAL, ran::Ran::No),
--- a/crates/model/src/command.rs
+++ b/crates/model/src/command.rs
@@ -1,5 +1,7 @@
 //! Commands of the replicated log.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{attempt, change, claim, incarnation, name, node, settlement, target};
@@ -24,4 +26,7 @@
     /// Asks a node to drain: its targets take nothing new until another
     /// incarnation joins.
     Drain(name::Name),
+    /// Records where the members of the control group are reached; made from
+    /// changes of the members, never proposed.
+    Control(Vec<SocketAddr>),
 }
--- a/crates/model/src/configuration.rs
+++ b/crates/model/src/configuration.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{code, edit, finding, key, kind, limit, name, object, priority, route, team};
+use crate::{code, edit, finding, key, kind, limit, map, name, object, priority, route, team};
 
 /// All objects that operators have created; also the form of an apply document.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -95,6 +95,26 @@
         })
     }
 
+    /// The edits that turn this configuration into another one, by object.
+    #[must_use]
+    pub fn edits_to(&self, other: &Self) -> Vec<edit::Edit> {
+        let known: map::Map<_, _> = self
+            .objects()
+            .map(|object| (object.key(), object))
+            .collect();
+        let wanted: map::Set<_> = other.objects().map(|object| object.key()).collect();
+        let deleted = self
+            .objects()
+            .map(|object| object.key())
+            .filter(|key| !wanted.contains(key))
+            .map(|(kind, name)| edit::Edit::Delete(kind, name));
+        let put = other
+            .objects()
+            .filter(|object| known.get(&object.key()) != Some(object))
+            .map(edit::Edit::Put);
+        deleted.chain(put).collect()
+    }
+
     /// Every object, by kind and in the order of the lists.
     pub fn objects(&self) -> impl Iterator<Item = object::Object> + '_ {
         let priorities = self.priorities.iter().cloned();
--- a/crates/model/src/delta.rs
+++ b/crates/model/src/delta.rs
@@ -1,5 +1,7 @@
 //! Steps from one published version to a later one.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{edit, incarnation, name, node, target, version};
@@ -13,6 +15,8 @@
     Joined(node::Node),
     /// Nodes left with their targets.
     Left(Vec<(name::Name, incarnation::Incarnation)>),
+    /// Member ports of the control group.
+    Control(Vec<SocketAddr>),
     /// All targets of a node.
     Announced(name::Name, incarnation::Incarnation, Vec<target::Target>),
 }
--- a/crates/model/src/member.rs
+++ b/crates/model/src/member.rs
@@ -10,6 +10,18 @@
 #[serde(transparent)]
 pub struct Id(pub u64);
 
+impl Id {
+    /// The id of a first member, which all first members derive alike from its
+    /// address. A member that replaces a lost disk draws a random id.
+    #[must_use]
+    pub fn of_founder(address: SocketAddr) -> Self {
+        let digest = blake3::hash(address.to_string().as_bytes());
+        let mut bytes = [0; 8];
+        bytes.copy_from_slice(&digest.as_bytes()[..8]);
+        Self(u64::from_le_bytes(bytes))
+    }
+}
+
 /// A member of the control group.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
--- a/crates/model/src/object.rs
+++ b/crates/model/src/object.rs
@@ -33,6 +33,12 @@
         }
     }
 
+    /// Kind and name, which together tell an object from all others.
+    #[must_use]
+    pub fn key(&self) -> (kind::Kind, name::Name) {
+        (self.kind(), self.name().clone())
+    }
+
     /// The name of the object.
     #[must_use]
     pub const fn name(&self) -> &name::Name {
--- a/crates/model/src/route.rs
+++ b/crates/model/src/route.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
-use crate::{access, name};
+use crate::{access, name, part};
 
 /// Maps a path prefix to a service, with the rules for its requests.
 #[serde_as]
@@ -14,10 +14,18 @@
 pub struct Route {
     /// Name of the route.
     pub name: name::Name,
-    /// Path prefix; the longest match on whole segments wins.
+    /// Host of its requests, without a port; absent where any host matches.
+    #[serde(default)]
+    pub host: Option<Box<str>>,
+    /// Path prefix; the longest match on whole segments wins. One that ends
+    /// with a slash matches only what lies below it.
     pub path: Box<str>,
     /// Service whose targets serve the route.
     pub service: name::Name,
+    /// Division of the traffic among several services; `service` is not used
+    /// when there are any.
+    #[serde(default)]
+    pub split: Vec<part::Part>,
     /// Priority of its requests; callers may lower it.
     pub priority: name::Name,
     /// Who may use the route.
@@ -32,6 +40,14 @@
     /// Retry credit of a request's whole call tree, 0 to 10.
     #[serde(default = "default_retries")]
     pub retries: u8,
+    /// Most targets to which one request is sent, 1 to 11; absent where only
+    /// the retry credit bounds them.
+    #[serde(default)]
+    pub attempts: Option<u8>,
+    /// Latency up to which an answer has its full value.
+    #[serde(rename = "latency_target_ms", default)]
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    pub latency_target: Option<Duration>,
 }
 
 const fn default_timeout() -> Duration {
@@ -41,3 +57,11 @@
 const fn default_retries() -> u8 {
     3
 }
+
+impl Route {
+    /// The path prefix in the form in which it is looked up: the root is empty.
+    #[must_use]
+    pub fn prefix(&self) -> &str {
+        if &*self.path == "/" { "" } else { &self.path }
+    }
+}
--- a/crates/model/src/secret.rs
+++ b/crates/model/src/secret.rs
@@ -1,4 +1,5 @@
-//! Keys as their holders have them: `mk_<id>_<secret>`.
+//! Keys as their holders have them: `mk_<id>_<secret>`, or any text that an
+//! operator has brought.
 
 use std::fmt;
 
@@ -6,6 +7,8 @@
 
 /// Bytes of the public id.
 pub const ID_BYTES: usize = 8;
+/// Context of the hash that gives the id of another system's key.
+const FOREIGN_ID: &str = "masticarch 2026 id of a foreign key";
 /// Bytes of the secret.
 pub const SECRET_BYTES: usize = 32;
 
@@ -15,14 +18,17 @@
 pub struct Secret {
     /// Public id.
     pub id: [u8; ID_BYTES],
-    secret: [u8; SECRET_BYTES],
+    secret: Vec<u8>,
 }
 
 impl Secret {
     /// Makes a key from random bytes.
     #[must_use]
-    pub const fn new(id: [u8; ID_BYTES], secret: [u8; SECRET_BYTES]) -> Self {
-        Self { id, secret }
+    pub fn new(id: [u8; ID_BYTES], secret: [u8; SECRET_BYTES]) -> Self {
+        Self {
+            id,
+            secret: secret.into(),
+        }
     }
 
     /// Reads `mk_<id>_<secret>`; `None` when the text has another form.
@@ -31,10 +37,23 @@
         let (id, secret) = text.strip_prefix("mk_")?.split_once('_')?;
         Some(Self {
             id: decode(id)?,
-            secret: decode(secret)?,
+            secret: decode::<SECRET_BYTES>(secret)?.into(),
         })
     }
 
+    /// Makes a key from a text that another system has issued. Its public id
+    /// is derived from the text.
+    #[must_use]
+    pub fn foreign(text: &str) -> Self {
+        let digest = blake3::derive_key(FOREIGN_ID, text.as_bytes());
+        let mut id = [0; ID_BYTES];
+        id.copy_from_slice(&digest[..ID_BYTES]);
+        Self {
+            id,
+            secret: text.into(),
+        }
+    }
+
     /// The text for the holder; shown once, never logged.
     #[must_use]
     pub fn reveal(&self) -> String {
--- a/crates/model/src/team.rs
+++ b/crates/model/src/team.rs
@@ -12,6 +12,9 @@
     pub name: name::Name,
     /// The limit on the team's requests over the whole fleet.
     pub limit: name::Name,
+    /// Priority of the team's requests, in place of that of their routes.
+    #[serde(default)]
+    pub priority: Option<name::Name>,
     /// Share of capacity within a priority under overload, 1 to 1,000.
     #[serde(default = "default_weight")]
     pub weight: u16,
--- a/crates/model/src/view.rs
+++ b/crates/model/src/view.rs
@@ -1,5 +1,7 @@
 //! The part of the replicated state that nodes receive.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{configuration, delta, name, node, target, version};
@@ -24,6 +26,8 @@
     pub configuration: configuration::Configuration,
     /// Nodes and their targets.
     pub nodes: Vec<Entry>,
+    /// Member ports of the control group; empty until its members change.
+    pub control: Vec<SocketAddr>,
 }
 
 impl View {
@@ -56,6 +60,7 @@
                 }
                 self.configuration_version = *version;
             }
+            delta::Delta::Control(addresses) => self.control.clone_from(addresses),
             delta::Delta::Joined(node) => self.join(node),
             delta::Delta::Left(gone) => {
                 let left = |node: &node::Node| {
--- a/crates/node/src/admin/handler.rs
+++ b/crates/node/src/admin/handler.rs
@@ -1,10 +1,10 @@
 //! Answers requests on the admin port.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use http::{HeaderValue, Method, StatusCode, header};
 use masticarch_model::{code, name};
+use masticarch_policy::currency;
 use masticarch_wire::http::{answer, fault, request};
 
 use super::status;
@@ -13,10 +13,6 @@
 use crate::target::{announcement, message as target};
 use crate::{refusal, services, session};
 
-/// A node whose copy is older than this is not ready: it refuses keyed
-/// requests.
-const CURRENT_LIMIT: Duration = Duration::from_secs(5);
-
 /// Answers the requests on one connection.
 pub struct Handler {
     services: Rc<services::Services>,
@@ -58,10 +54,7 @@
     }
 
     async fn ready(&self) -> answer::Answer {
-        let held = self.services.sync.ask(sync::Message::Status).await.ok();
-        let ready = held
-            .is_some_and(|held| !held.draining && held.age.is_some_and(|age| age < CURRENT_LIMIT));
-        if ready {
+        if is_ready(&self.services).await {
             plain(StatusCode::OK, "ready")
         } else {
             plain(StatusCode::SERVICE_UNAVAILABLE, "not ready")
@@ -87,7 +80,7 @@
             return refused(code::Code::BadName, "the service has a bad name");
         }
         let message = match request.method {
-            Method::DELETE => target::Message::Retract(service),
+            Method::DELETE => target::Message::Retract(service, None),
             Method::PUT => match serde_json::from_slice(&request.body) {
                 Ok(body) if announcement::Announcement::is_valid(&body) => {
                     target::Message::Announce(service, body)
@@ -116,6 +109,12 @@
     }
 }
 
+/// Whether the node takes requests: its copy is current and it does not drain.
+pub async fn is_ready(services: &services::Services) -> bool {
+    let held = services.sync.ask(sync::Message::Status).await.ok();
+    held.is_some_and(|held| !held.draining && held.age.is_some_and(|age| age < currency::MAX_AGE))
+}
+
 fn plain(status: StatusCode, text: &'static str) -> answer::Answer {
     answer::Answer::new(status, text)
 }
--- a/crates/node/src/admission/entry.rs
+++ b/crates/node/src/admission/entry.rs
@@ -1,6 +1,6 @@
 //! A request that asks to run at a target.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use masticarch_model::name;
 
@@ -23,4 +23,20 @@
     pub credit: u8,
     /// Whether the execution costs one credit.
     pub repeat: bool,
+    /// Service beside the node where the request entered the fleet.
+    pub caller: Option<name::Name>,
+}
+
+impl Entry {
+    /// Time left until the deadline.
+    #[must_use]
+    pub fn remaining(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Time left until the deadline, in whole milliseconds.
+    #[must_use]
+    pub fn remaining_ms(&self) -> u64 {
+        u64::try_from(self.remaining().as_millis()).unwrap_or(u64::MAX)
+    }
 }
--- a/crates/node/src/admission/service.rs
+++ b/crates/node/src/admission/service.rs
@@ -5,13 +5,14 @@
 use std::time::Instant;
 
 use masticarch_kernel::{mailbox, stop};
-use masticarch_policy::limit::{Limiter, adaptive, unlimited};
+use masticarch_policy::limit::{Limiter, unlimited};
 
 use crate::admission::{counters, message, state};
+use crate::front::Front;
 use crate::{event, metrics, options};
 
 /// Runs the service until it is asked to stop.
-pub async fn run(
+pub async fn run<F: Front>(
     mailbox: mailbox::Mailbox<message::Message>,
     options: Rc<options::Options>,
     metrics: metrics::Metrics,
@@ -23,7 +24,7 @@
     };
     let (queue_limit, now) = (options.queue_limit, Instant::now());
     if options.decisions {
-        let state = state::State::<adaptive::Adaptive>::new(queue_limit, true, counters, now);
+        let state = state::State::<F::Limiter>::new(queue_limit, true, counters, now);
         serve(mailbox, state, stop).await;
     } else {
         let state = state::State::<unlimited::Unlimited>::new(queue_limit, false, counters, now);
--- a/crates/node/src/caller/attempt.rs
+++ b/crates/node/src/caller/attempt.rs
@@ -6,6 +6,7 @@
 use masticarch_wire::http::request;
 
 use crate::admission::{entry, summary};
+use crate::front::Front;
 use crate::gate::{admission, choice, report};
 use crate::peer::exchange;
 use crate::target::{job, run};
@@ -17,7 +18,7 @@
 
 /// Makes one attempt. The two ways are boxed, because a future that holds both
 /// costs more to move than the allocation.
-pub async fn make(
+pub async fn make<F: Front>(
     services: &services::Services,
     admission: &admission::Admission,
     choice: &choice::Choice,
@@ -34,11 +35,12 @@
             deadline: admission.deadline.min(limit),
             credit: choice.credit,
             repeat: choice.repeat,
+            caller: services.options.service.clone(),
         },
         request: request.clone(),
     };
     let Some(address) = choice.peer else {
-        return Box::pin(run::run(services, job)).await;
+        return Box::pin(run::run::<F>(services, job)).await;
     };
     let limit = monoio::time::Instant::from_std(job.entry.deadline + MARGIN);
     let exchange = Box::pin(exchange::run(services, address, admission, job));
--- a/crates/node/src/caller/handler.rs
+++ b/crates/node/src/caller/handler.rs
@@ -1,16 +1,17 @@
 //! Takes the requests of one connection through the fleet.
 
+use std::marker::PhantomData;
 use std::rc::Rc;
 use std::time::Instant;
 
 use futures::future::{self, Either};
 use masticarch_model::{attempt as model, code};
-use masticarch_wire::header;
-use masticarch_wire::http::{answer, fault, fields, request};
+use masticarch_wire::http::{answer, fault, request};
 
-use super::{attempt, claim, encode, flight, intake, ledger};
+use super::{attempt, claim, encode, flight, ledger};
 use crate::admission::message as parent;
 use crate::claims::hold;
+use crate::front::Front;
 use crate::gate::{admission, choice, message, report, request as gate};
 use crate::target::job;
 use crate::{origin, race, refusal, services, session};
@@ -19,10 +20,11 @@
 const NO_ID: &str = "";
 
 /// Takes the requests of one connection through the fleet.
-pub struct Handler {
+pub struct Handler<F> {
     services: Rc<services::Services>,
     connection: u32,
     requests: u32,
+    front: PhantomData<F>,
 }
 
 /// A refusal with the id of its request.
@@ -31,7 +33,7 @@
     id: Box<str>,
 }
 
-impl Handler {
+impl<F: Front> Handler<F> {
     /// A handler for the connection with this number.
     #[must_use]
     pub const fn new(services: Rc<services::Services>, connection: u32) -> Self {
@@ -39,17 +41,20 @@
             services,
             connection,
             requests: 0,
+            front: PhantomData,
         }
     }
 
     async fn begin(&mut self, mut request: request::Request) -> Result<answer::Answer, Refused> {
-        let id = fields::text(&request.headers, header::REQUEST_ID).unwrap_or(NO_ID);
-        let id: Box<str> = id.into();
         let services = Rc::clone(&self.services);
-        let intake = match intake::read(&services, &mut request).await {
+        let intake = match F::read(&services, &mut request).await {
             Ok(intake) => intake,
-            Err(refusal) => return Err(Refused { refusal, id }),
+            Err(refusal) => {
+                let id = NO_ID.into();
+                return Err(Refused { refusal, id });
+            }
         };
+        let id: Box<str> = intake.request.id.as_deref().unwrap_or(NO_ID).into();
         let loan = match &intake.request.origin {
             origin::Origin::SubCall(loan) => Some(loan.clone()),
             origin::Origin::Caller(_) => None,
@@ -146,19 +151,23 @@
                 hold.sending();
             }
             let begun = Instant::now();
-            let outcome = attempt::make(services, admission, &choice, request).await;
+            let outcome = attempt::make::<F>(services, admission, &choice, request).await;
             let report = attempt::report(&outcome, begun.elapsed());
             if is_final(&outcome, admission) {
                 settle(hold, &outcome);
                 flight.end(Some(report));
-                return outcome.result.map(|answer| complete(answer, admission));
+                return outcome
+                    .result
+                    .map(|answer| complete::<F>(answer, admission));
             }
             // The gate has the report of this attempt from here on.
             flight.reported();
             let Some(next) = self.next(admission, report).await else {
                 settle(hold, &outcome);
                 flight.end(None);
-                return outcome.result.map(|answer| complete(answer, admission));
+                return outcome
+                    .result
+                    .map(|answer| complete::<F>(answer, admission));
             };
             choice = next;
         }
@@ -174,7 +183,7 @@
     }
 }
 
-impl session::Handler for Handler {
+impl<F: Front> session::Handler for Handler<F> {
     async fn answer(&mut self, request: request::Request) -> answer::Answer {
         self.requests = self.requests.wrapping_add(1);
         match self.begin(request).await {
@@ -184,7 +193,7 @@
             }
             Err(refused) => {
                 self.services.metrics.refused(refused.refusal.code);
-                encode::refusal(&refused.refusal, &refused.id)
+                F::refuse(&refused.refusal, &refused.id)
             }
         }
     }
@@ -192,7 +201,7 @@
     fn refuse(&mut self, fault: &fault::Fault) -> answer::Answer {
         let code = fault.request_code();
         self.services.metrics.refused(code);
-        encode::refusal(&refusal::Refusal::new(code, fault.to_string()), NO_ID)
+        F::refuse(&refusal::Refusal::new(code, fault.to_string()), NO_ID)
     }
 }
 
@@ -230,8 +239,11 @@
     }
 }
 
-fn complete(mut answer: answer::Answer, admission: &admission::Admission) -> answer::Answer {
-    fields::set(&mut answer.headers, header::REQUEST_ID, &admission.root);
+fn complete<F: Front>(
+    mut answer: answer::Answer,
+    admission: &admission::Admission,
+) -> answer::Answer {
+    F::complete(&mut answer, &admission.root);
     answer.keep_alive = true;
     answer
 }
--- a/crates/node/src/caller/mod.rs
+++ b/crates/node/src/caller/mod.rs
@@ -5,6 +5,5 @@
 pub mod encode;
 pub mod flight;
 pub mod handler;
-pub mod intake;
 pub mod ledger;
 pub mod service;
--- a/crates/node/src/claims/service.rs
+++ b/crates/node/src/claims/service.rs
@@ -9,7 +9,7 @@
 use masticarch_wire::message::claim as wire;
 
 use super::{hold, message, worker};
-use crate::{leader, name, options};
+use crate::{contacts, leader, name, options};
 
 /// Longest wait for unfinished settlements at a shutdown.
 const FINISH_LIMIT: Duration = Duration::from_secs(3);
@@ -17,6 +17,7 @@
 const MAX_IDLE: usize = 8;
 
 struct Claims {
+    contacts: contacts::Contacts,
     options: Rc<options::Options>,
     incarnation: incarnation::Incarnation,
     sequence: u64,
@@ -30,11 +31,13 @@
 pub async fn run(
     mut mailbox: mailbox::Mailbox<message::Message>,
     own: address::Address<message::Message>,
+    contacts: contacts::Contacts,
     options: Rc<options::Options>,
     incarnation: incarnation::Incarnation,
     stop: stop::Stop,
 ) {
     let mut claims = Claims {
+        contacts,
         options,
         incarnation,
         sequence: 0,
@@ -138,7 +141,7 @@
         self.busy += 1;
         self.idle.pop().unwrap_or_else(|| {
             let options = &self.options;
-            leader::Leader::new(options.control.clone(), options.credential.clone())
+            leader::Leader::new(self.contacts.clone(), options.credential.clone())
         })
     }
 
--- /dev/null
+++ b/crates/node/src/front/intake.rs
@@ -0,0 +1,12 @@
+//! What masticarch reads from a caller's request.
+
+use crate::gate::request;
+
+/// What masticarch reads from a caller's request.
+#[derive(Debug)]
+pub struct Intake {
+    /// What the gate decides on.
+    pub request: request::Request,
+    /// The caller's idempotency key.
+    pub idempotency_key: Option<Box<str>>,
+}
--- a/crates/node/src/caller/intake.rs
+++ b/crates/node/src/front/native.rs
@@ -1,13 +1,16 @@
-//! Reads what masticarch needs from a caller's request.
+//! The product's own HTTP interface.
 
 use std::time::Duration;
 
 use http::{HeaderMap, header};
 use masticarch_model::code;
+use masticarch_policy::limit::adaptive;
 use masticarch_wire::header as names;
-use masticarch_wire::http::{fields, request};
+use masticarch_wire::http::{answer, fields, request};
 
+use super::{Front, errand, intake, judgement};
 use crate::admission::message as admission;
+use crate::caller::encode;
 use crate::gate::request as gate;
 use crate::{origin, refusal, services};
 
@@ -15,23 +18,49 @@
 /// in the replicated log.
 const ID_BYTES: usize = 128;
 
-/// What masticarch reads from a caller's request.
+/// The product's own HTTP interface.
 #[derive(Debug)]
-pub struct Intake {
-    /// What the gate decides on.
-    pub request: gate::Request,
-    /// The caller's idempotency key.
-    pub idempotency_key: Option<Box<str>>,
+pub struct Native;
+
+impl Front for Native {
+    type Limiter = adaptive::Adaptive;
+
+    async fn read(
+        services: &services::Services,
+        request: &mut request::Request,
+    ) -> Result<intake::Intake, refusal::Refusal> {
+        read(services, request).await
+    }
+
+    fn refuse(refusal: &refusal::Refusal, id: &str) -> answer::Answer {
+        encode::refusal(refusal, id)
+    }
+
+    fn complete(answer: &mut answer::Answer, id: &str) {
+        fields::set(&mut answer.headers, names::REQUEST_ID, id);
+    }
+
+    fn instruct(request: &mut request::Request, errand: &errand::Errand<'_>) {
+        let headers = &mut request.headers;
+        let entry = errand.entry;
+        fields::set(headers, names::CONTEXT, &errand.permit.context);
+        fields::set(headers, names::REQUEST_ID, &entry.root);
+        fields::set_number(headers, names::DEADLINE_MS, entry.remaining_ms());
+        fields::set_number(headers, names::PRIORITY, entry.rank);
+        if let Some(team) = &entry.team {
+            fields::set(headers, names::TEAM, team);
+        }
+    }
+
+    fn judge(_: &request::Request, _: &answer::Answer) -> judgement::Judgement {
+        judgement::Judgement::Ran
+    }
 }
 
-/// Reads a request and removes the headers that no target may see.
-///
-/// # Errors
-/// A refusal when an id is unusable or the context is unknown.
-pub async fn read(
+async fn read(
     services: &services::Services,
     request: &mut request::Request,
-) -> Result<Intake, refusal::Refusal> {
+) -> Result<intake::Intake, refusal::Refusal> {
     if has_dot_segment(request.uri.path()) {
         return Err(refusal::Refusal::new(
             code::Code::BadRequest,
@@ -41,12 +70,15 @@
     let origin = origin(services, &request.headers).await?;
     let headers = &request.headers;
     let remaining: Option<u64> = fields::number(headers, names::DEADLINE_MS);
-    let intake = Intake {
-        idempotency_key: id(headers, names::IDEMPOTENCY_KEY)?,
+    let id = text_id(headers, names::REQUEST_ID)?;
+    let intake = intake::Intake {
+        idempotency_key: text_id(headers, names::IDEMPOTENCY_KEY)?,
         request: gate::Request {
             origin,
+            host: fields::host(headers),
             path: request.uri.path().into(),
-            id: id(headers, names::REQUEST_ID)?,
+            recognised: id.is_some(),
+            id,
             priority: fields::text(headers, names::PRIORITY).map(Into::into),
             remaining: remaining.map(Duration::from_millis),
         },
@@ -92,7 +124,7 @@
         .then_some(token.trim())
 }
 
-fn id(headers: &HeaderMap, name: &str) -> Result<Option<Box<str>>, refusal::Refusal> {
+fn text_id(headers: &HeaderMap, name: &str) -> Result<Option<Box<str>>, refusal::Refusal> {
     let Some(value) = headers.get(name) else {
         return Ok(None);
     };
--- a/crates/node/src/gate/authority.rs
+++ b/crates/node/src/gate/authority.rs
@@ -17,17 +17,16 @@
     route: &directory::Route,
     origin: &origin::Origin,
 ) -> Result<Team, code::Code> {
-    let Some(teams) = &route.teams else {
+    if route.is_open() {
         return Ok(kept(directory, origin));
-    };
+    }
     let team = match origin {
         origin::Origin::Caller(text) => keyed(directory, text.as_deref())?,
         origin::Origin::SubCall(loan) => inherited(directory, loan.team.as_ref())?,
     };
-    if teams.contains(&team) {
-        Ok(Some(team))
-    } else {
-        Err(code::Code::WrongTeam)
+    match &route.access {
+        directory::Access::Teams(teams) if !teams.contains(&team) => Err(code::Code::WrongTeam),
+        _ => Ok(Some(team)),
     }
 }
 
@@ -46,7 +45,7 @@
     text: Option<&str>,
 ) -> Result<directory::TeamKey, code::Code> {
     let text = text.ok_or(code::Code::NoKey)?;
-    let secret = secret::Secret::parse(text).ok_or(code::Code::UnknownKey)?;
+    let secret = secret::Secret::parse(text).unwrap_or_else(|| secret::Secret::foreign(text));
     let credential = directory.credential(&secret.id);
     let credential = credential.ok_or(code::Code::UnknownKey)?;
     if !secret.matches(&credential.hash) {
--- a/crates/node/src/gate/mod.rs
+++ b/crates/node/src/gate/mod.rs
@@ -16,6 +16,7 @@
 pub mod request;
 mod running;
 pub mod service;
+mod splits;
 mod state;
 mod team;
 mod teams;
--- a/crates/node/src/gate/pending.rs
+++ b/crates/node/src/gate/pending.rs
@@ -24,4 +24,5 @@
     pub service: name::Name,
     pub pool: remotes::PoolKey,
     pub idempotent: bool,
+    pub attempts: Option<u8>,
 }
--- a/crates/node/src/gate/running.rs
+++ b/crates/node/src/gate/running.rs
@@ -14,6 +14,10 @@
     pub rank: u8,
     pub deadline: Instant,
     pub idempotent: bool,
+    /// Most targets to which the request is sent.
+    pub attempts: Option<u8>,
+    /// Attempts that have reached a target.
+    pub arrivals: u8,
     pub purse: purse::Purse,
     /// Targets of the attempts so far; the last one is the present one.
     pub tried: Vec<remote::RemoteKey>,
@@ -39,6 +43,9 @@
     /// Takes the report of the present attempt and returns its target; `None`
     /// when the attempt was reported before.
     pub fn report(&mut self, report: &report::Report) -> Option<remote::RemoteKey> {
+        self.arrivals = self
+            .arrivals
+            .saturating_add(u8::from(verdict::has_arrived(report)));
         self.close_attempt(report.credit, verdict::executions(report))
     }
 
@@ -58,8 +65,9 @@
 
     /// Whether a further attempt is harmless and may succeed.
     pub fn may_retry(&self, report: &report::Report) -> bool {
+        let spent = self.attempts.is_some_and(|most| self.arrivals >= most);
         let harmless = self.idempotent || report.ran == ran::Ran::No;
-        harmless && verdict::failure(report).is_some_and(verdict::is_retryable)
+        !spent && harmless && verdict::failure(report).is_some_and(verdict::is_retryable)
     }
 
     fn close_attempt(&mut self, credit: u8, executions: Option<u32>) -> Option<remote::RemoteKey> {
--- /dev/null
+++ b/crates/node/src/gate/splits.rs
@@ -0,0 +1,35 @@
+//! Division of the traffic of routes among several services.
+
+use fastrand::Rng;
+use masticarch_model::{directory, map, name};
+use masticarch_policy::route::split;
+
+/// What is due to each part of the routes whose traffic is split. It is kept
+/// over changes of the directory, so that frequent changes do not favour a part.
+#[derive(Debug, Default)]
+pub struct Splits {
+    routes: map::Map<name::Name, split::Split>,
+}
+
+impl Splits {
+    /// Drops the routes that a directory no longer has.
+    pub fn install(&mut self, directory: &directory::Directory) {
+        self.routes
+            .retain(|name, _| directory.route_named(name).is_some());
+    }
+
+    /// The service that takes the next request of a route.
+    pub fn choose(
+        &mut self,
+        route: &directory::Route,
+        rng: &mut Rng,
+    ) -> Option<directory::ServiceKey> {
+        if let [only] = route.parts.as_slice() {
+            return Some(only.service);
+        }
+        let weights = route.parts.iter().map(|part| part.weight);
+        let split = self.routes.entry(route.name.clone()).or_default();
+        let index = split.choose(weights, || rng.f64())?;
+        Some(route.parts[index].service)
+    }
+}
--- a/crates/node/src/gate/state.rs
+++ b/crates/node/src/gate/state.rs
@@ -13,7 +13,7 @@
 
 use crate::gate::{
     admission, authority, choice, denial, key, message, pending, remote, remotes, report, reports,
-    request, running, teams, terms, verdict,
+    request, running, splits, teams, terms, verdict,
 };
 use crate::{metrics, options, origin};
 
@@ -33,6 +33,7 @@
     directory: Rc<directory::Directory>,
     currency: currency::Currency,
     teams: teams::Teams,
+    splits: splits::Splits,
     remotes: remotes::Remotes,
     running: SlotMap<key::RequestKey, running::Running>,
     reports: reports::Reports,
@@ -57,6 +58,7 @@
             directory: Rc::default(),
             currency: currency::Currency::default(),
             teams: teams::Teams::default(),
+            splits: splits::Splits::default(),
             remotes,
             running: SlotMap::with_key(),
             reports: reports::Reports::new(now),
@@ -124,10 +126,16 @@
         if self.draining && is_root {
             return Err(code::Code::Draining);
         }
-        let key = self.directory.route(&request.path);
-        let key = key.ok_or(code::Code::NoRoute)?;
+        let key = self.directory.route(request.host.as_deref(), &request.path);
+        // A node that is not current cannot say that there is no such route.
+        let missing = if self.currency.is_current(now) {
+            code::Code::NoRoute
+        } else {
+            code::Code::NotCurrent
+        };
+        let key = key.ok_or(missing)?;
         let route = &self.directory.routes[key];
-        if is_root && route.teams.is_some() && !self.currency.is_current(now) {
+        if is_root && !route.is_open() && !self.currency.is_current(now) {
             return Err(code::Code::NotCurrent);
         }
         let team = authority::check(&self.directory, route, &request.origin)?;
@@ -147,11 +155,15 @@
         let is_root = matches!(request.origin, origin::Origin::Caller(_));
         let directory = Rc::clone(&self.directory);
         let route = &directory.routes[key];
-        let terms = terms::Terms::new(&directory, route, request, &mut self.rng, now);
+        let rank = team.and_then(|team| directory.teams[team].rank);
+        let rank = rank.unwrap_or(route.rank);
+        let terms = terms::Terms::new(&directory, route, rank, request, &mut self.rng, now);
         if terms.deadline <= now {
             return denial::send(reply, code::Code::DeadlineExceeded);
         }
-        let Some(pool) = self.remotes.pool_of(route.service) else {
+        let service = self.splits.choose(route, &mut self.rng);
+        let place = service.and_then(|service| Some((service, self.remotes.pool_of(service)?)));
+        let Some((service, pool)) = place else {
             return denial::send(reply, code::Code::NoTarget);
         };
         let rated = team.filter(|_| is_root && self.options.decisions);
@@ -162,9 +174,10 @@
             weight: team.map_or(1, |team| directory.teams[team].weight),
             rated: rated.is_some(),
             route: route.name.clone(),
-            service: directory.services[route.service].name.clone(),
+            service: directory.services[service].name.clone(),
             pool,
             idempotent: route.idempotent,
+            attempts: route.attempts,
         };
         match rated {
             Some(team) => self.apply_rate(team, pending, now),
@@ -230,6 +243,8 @@
             rank: pending.terms.rank,
             deadline: pending.terms.deadline,
             idempotent: pending.idempotent,
+            attempts: pending.attempts,
+            arrivals: 0,
             purse,
             tried: vec![remote],
             outstanding: true,
@@ -422,6 +437,7 @@
             return;
         }
         self.remotes.install(&directory);
+        self.splits.install(&directory);
         for pending in self.teams.install(&directory, now) {
             denial::send(pending.reply, code::Code::WrongTeam);
         }
--- a/crates/node/src/gate/terms.rs
+++ b/crates/node/src/gate/terms.rs
@@ -25,11 +25,12 @@
 }
 
 impl Terms {
-    /// The terms of a request on a route. A sub-call inherits those of its
+    /// The terms of a request on a route with this rank. A sub-call inherits those of its
     /// parent; a root request without an id gets a random one.
     pub fn new(
         directory: &directory::Directory,
         route: &directory::Route,
+        rank: u8,
         request: request::Request,
         rng: &mut Rng,
         now: Instant,
@@ -41,9 +42,9 @@
         let mut terms = match request.origin {
             origin::Origin::SubCall(parent) => Self::inherited(parent, own_deadline),
             origin::Origin::Caller(_) => Self {
-                recognised: request.id.is_some(),
+                recognised: request.recognised,
                 root: request.id.unwrap_or_else(|| random_id(rng)),
-                rank: route.rank,
+                rank,
                 deadline: own_deadline,
                 loan: loan::Loan {
                     credit: route.retries,
--- a/crates/node/src/gate/verdict.rs
+++ b/crates/node/src/gate/verdict.rs
@@ -35,10 +35,16 @@
             | code::Code::Draining
             | code::Code::NoTarget
             | code::Code::BufferFull
+            | code::Code::TargetRefused
     );
     refused || is_target_fault(code)
 }
 
+/// Whether an attempt reached its target, which may have refused it.
+pub fn has_arrived(report: &report::Report) -> bool {
+    report.ran != ran::Ran::No || report.failure == Some(code::Code::TargetRefused)
+}
+
 /// Executions below an attempt; none when it is known not to have run.
 pub const fn executions(report: &report::Report) -> Option<u32> {
     match report.ran {
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -10,6 +10,8 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::contacts;
+
 /// Longest time for a call, on top of the time that the leader may hold it.
 pub const TIMEOUT: Duration = Duration::from_millis(1500);
 /// Redirects that one call follows; more mean that an election is going on.
@@ -33,7 +35,7 @@
 
 /// A connection to the control process that led last.
 pub struct Leader {
-    addresses: Vec<SocketAddr>,
+    contacts: contacts::Contacts,
     position: usize,
     hint: Option<SocketAddr>,
     credential: handshake::Credential,
@@ -44,7 +46,7 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter
             .debug_struct("Leader")
-            .field("addresses", &self.addresses)
+            .field("contacts", &self.contacts)
             .field("hint", &self.hint)
             .finish_non_exhaustive()
     }
@@ -53,9 +55,9 @@
 impl Leader {
     /// Starts with the first of the member ports.
     #[must_use]
-    pub fn new(addresses: Vec<SocketAddr>, credential: handshake::Credential) -> Self {
+    pub fn new(contacts: contacts::Contacts, credential: handshake::Credential) -> Self {
         Self {
-            addresses,
+            contacts,
             position: 0,
             hint: None,
             credential,
@@ -106,7 +108,7 @@
     async fn connect(&mut self) -> Result<member::Client, error::Error> {
         let address = self
             .hint
-            .or_else(|| self.addresses.get(self.position).copied())
+            .or_else(|| self.contacts.get(self.position))
             .ok_or(error::Error::Timeout)?;
         let role = handshake::Role::Member;
         let link = rpc::open(address, role, &self.credential).await?;
@@ -117,8 +119,8 @@
     fn leave(&mut self, hint: Option<SocketAddr>) {
         self.link = None;
         self.hint = hint;
-        if hint.is_none() && !self.addresses.is_empty() {
-            self.position = (self.position + 1) % self.addresses.len();
+        if hint.is_none() {
+            self.position = self.position.wrapping_add(1);
         }
     }
 }
--- a/crates/node/src/lease/service.rs
+++ b/crates/node/src/lease/service.rs
@@ -8,7 +8,7 @@
 use masticarch_model::incarnation;
 use masticarch_wire::message::lease;
 
-use crate::{gate, leader, options};
+use crate::{contacts, gate, leader, options};
 
 /// Shortest time between two requests. The gate holds back a team that has been
 /// reported for 250 ms; a team that is new at the node must be reported well
@@ -31,12 +31,13 @@
 /// Runs the service until asked to stop.
 pub async fn run(
     options: Rc<options::Options>,
+    contacts: contacts::Contacts,
     incarnation: incarnation::Incarnation,
     gate: address::Address<gate::message::Message>,
     stop: stop::Stop,
 ) {
     let mut lease = Lease {
-        leader: leader::Leader::new(options.control.clone(), options.credential.clone()),
+        leader: leader::Leader::new(contacts, options.credential.clone()),
         options,
         incarnation,
         gate,
--- a/crates/node/src/options.rs
+++ b/crates/node/src/options.rs
@@ -7,6 +7,8 @@
 use masticarch_model::{name, place};
 use masticarch_wire::handshake;
 
+use crate::target;
+
 /// What a node is started with.
 #[derive(Clone, Debug, Builder)]
 pub struct Options {
@@ -22,6 +24,8 @@
     pub advertised: Option<SocketAddr>,
     /// Listening address for metrics, health, status and announcements.
     pub admin: SocketAddr,
+    /// Service of the target beside the node, which its requests come from.
+    pub service: Option<name::Name>,
     /// Member ports of the control processes.
     pub control: Vec<SocketAddr>,
     /// The fleet's secret.
@@ -44,6 +48,13 @@
     /// Longest wait for running requests at shutdown.
     #[builder(default = Duration::from_mins(10))]
     pub drain_limit: Duration,
+    /// Time after its last announcement at which a target is gone.
+    #[builder(default = target::service::EXPIRY)]
+    pub announcement_expiry: Duration,
+    /// Time for which a node that is asked to stop still takes requests, so that
+    /// callers notice that it is no longer ready.
+    #[builder(default)]
+    pub linger: Duration,
     /// Whether the decisions on overload, rate, retries and claims are made.
     /// Experiments switch them off for their baseline.
     #[builder(default = true)]
--- a/crates/node/src/peer/handler.rs
+++ b/crates/node/src/peer/handler.rs
@@ -1,5 +1,6 @@
 //! Answers the requests of other nodes.
 
+use std::marker::PhantomData;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -12,24 +13,29 @@
 
 use super::headers;
 use crate::caller::encode;
+use crate::front::Front;
 use crate::ledger::message as ledger;
 use crate::target::{job, run};
 use crate::{refusal, services, session};
 
 /// Answers the requests on one connection of another node.
-pub struct Handler {
+pub struct Handler<F> {
     services: Rc<services::Services>,
+    front: PhantomData<F>,
 }
 
-impl Handler {
+impl<F: Front> Handler<F> {
     /// A handler for one connection.
     #[must_use]
     pub const fn new(services: Rc<services::Services>) -> Self {
-        Self { services }
+        Self {
+            services,
+            front: PhantomData,
+        }
     }
 
     async fn run(&self, job: job::Job) -> answer::Answer {
-        let outcome = run::run(&self.services, job).await;
+        let outcome = run::run::<F>(&self.services, job).await;
         let mut answer = outcome.result.unwrap_or_else(|refusal| refused(&refusal));
         if let Some(summary) = &outcome.summary {
             headers::write_summary(&mut answer, summary);
@@ -86,7 +92,7 @@
     }
 }
 
-impl session::Handler for Handler {
+impl<F: Front> session::Handler for Handler<F> {
     async fn answer(&mut self, request: request::Request) -> answer::Answer {
         // Requests between nodes carry the entry's headers; the others are
         // questions of the nodes themselves.
--- a/crates/node/src/peer/headers.rs
+++ b/crates/node/src/peer/headers.rs
@@ -14,19 +14,20 @@
 /// Adds what the target's node needs to a request.
 pub fn write_entry(request: &mut request::Request, entry: &entry::Entry, route: &name::Name) {
     let headers = &mut request.headers;
-    let remaining = entry.deadline.saturating_duration_since(Instant::now());
-    let remaining_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
     fields::set(headers, names::SERVICE, &entry.service);
     fields::set(headers, names::ROUTE, route);
     fields::set(headers, names::REQUEST_ID, &entry.root);
     fields::set_number(headers, names::WEIGHT, entry.weight);
     fields::set_number(headers, names::PRIORITY, entry.rank);
-    fields::set_number(headers, names::DEADLINE_MS, remaining_ms);
+    fields::set_number(headers, names::DEADLINE_MS, entry.remaining_ms());
     fields::set_number(headers, names::CREDIT, entry.credit);
     fields::set_number(headers, names::REPEAT, u8::from(entry.repeat));
     if let Some(team) = &entry.team {
         fields::set(headers, names::TEAM, team);
     }
+    if let Some(caller) = &entry.caller {
+        fields::set(headers, names::CALLER, caller);
+    }
 }
 
 /// Reads what another node sent; `None` when a part is missing.
@@ -43,6 +44,7 @@
         deadline: Instant::now().checked_add(remaining)?,
         credit: fields::number(headers, names::CREDIT)?,
         repeat: fields::text(headers, names::REPEAT)? == "1",
+        caller: fields::text(headers, names::CALLER).map(name::Name::new),
     })
 }
 
--- a/crates/node/src/peer/service.rs
+++ b/crates/node/src/peer/service.rs
@@ -7,17 +7,22 @@
 use monoio::net::{TcpListener, TcpStream};
 
 use super::handler;
+use crate::front::Front;
 use crate::{listener, name, services, session};
 
 /// Accepts other nodes until asked to stop; idle connections close then.
-pub async fn run(listener: TcpListener, services: Rc<services::Services>, stop: stop::Stop) {
+pub async fn run<F: Front>(
+    listener: TcpListener,
+    services: Rc<services::Services>,
+    stop: stop::Stop,
+) {
     let context = services.session(&stop);
     listener::run(name::PEER, listener, stop, move |_, stream| {
         let open = services.metrics.opened("peer");
         let services = services.clone();
         let context = context.clone();
         async move {
-            serve(stream, services, context).await;
+            serve::<F>(stream, services, context).await;
             drop(open);
         }
     })
@@ -26,10 +31,14 @@
 
 /// Serves one connection after the other side has proved membership. Anything
 /// else on the port closes its connection without an answer.
-async fn serve(mut stream: TcpStream, services: Rc<services::Services>, context: session::Context) {
+async fn serve<F: Front>(
+    mut stream: TcpStream,
+    services: Rc<services::Services>,
+    context: session::Context,
+) {
     let credentials = std::slice::from_ref(&services.options.credential);
     let accepted = handshake::accept(&mut stream, handshake::Role::Peer, credentials).await;
     if accepted.is_ok() {
-        session::run(stream, handler::Handler::new(services), context).await;
+        session::run(stream, handler::Handler::<F>::new(services), context).await;
     }
 }
--- a/crates/node/src/role.rs
+++ b/crates/node/src/role.rs
@@ -7,6 +7,7 @@
 use masticarch_model::incarnation;
 use monoio::net::TcpListener;
 
+use crate::front::{Front, native};
 use crate::{
     admin, admission, caller, claims, error, gate, lease, ledger, links, listener, metrics, name,
     options, peer, services, sync, target,
@@ -37,12 +38,25 @@
     admin: TcpListener,
 }
 
-/// Runs a node until asked to stop and no request is in flight, or until the
-/// drain limit.
+/// Runs a node with the product's own front end until asked to stop and no
+/// request is in flight, or until the drain limit.
 ///
 /// # Errors
 /// [`error::Error`] when a port cannot be opened or a service not started.
 pub async fn run(options: options::Options, stop: stop::Stop) -> Result<(), error::Error> {
+    run_with::<native::Native>(options, stop, |_, _| Ok(())).await
+}
+
+/// Runs a node with any front end, as [`run`] does. `extend` starts the services
+/// that the front end adds.
+///
+/// # Errors
+/// As [`run`], and the errors of `extend`.
+pub async fn run_with<F: Front>(
+    options: options::Options,
+    stop: stop::Stop,
+    extend: impl FnOnce(&mut kernel::Kernel, &Rc<services::Services>) -> Result<(), error::Error>,
+) -> Result<(), error::Error> {
     let options = Rc::new(options);
     let listeners = Listeners::open(&options)?;
     let mut kernel = kernel::Kernel::new();
@@ -51,8 +65,9 @@
     let metrics = metrics::Metrics::new()?;
     let services = services::Services::new(kernel.registry(), options, incarnation, metrics)?;
     let services = Rc::new(services);
-    start_state(&mut kernel, mailboxes, &services);
-    start_ports(&mut kernel, listeners, &services);
+    start_state::<F>(&mut kernel, mailboxes, &services);
+    start_ports::<F>(&mut kernel, listeners, &services);
+    extend(&mut kernel, &services)?;
     stop.wait().await;
     drain(&services).await;
     kernel.shutdown(STOP_LIMIT).await;
@@ -63,9 +78,11 @@
 /// meanwhile, because running calls may still send sub-calls.
 async fn drain(services: &services::Services) {
     let _ = services.sync.send(sync::message::Message::Drain).await;
+    let options = &services.options;
+    monoio::time::sleep(options.linger).await;
     let _ = services.gate.send(gate::message::Message::Drain).await;
-    monoio::time::sleep(ANNOUNCE).await;
-    let limit = services.options.drain_limit;
+    monoio::time::sleep(ANNOUNCE.saturating_sub(options.linger)).await;
+    let limit = options.drain_limit.saturating_sub(options.linger);
     let settled = monoio::time::timeout(limit, services.activity.settle());
     if settled.await.is_err() {
         tracing::warn!("requests were still in flight at the drain limit");
@@ -73,7 +90,11 @@
 }
 
 /// Starts the services that own state.
-fn start_state(kernel: &mut kernel::Kernel, mailboxes: Mailboxes, services: &services::Services) {
+fn start_state<F: Front>(
+    kernel: &mut kernel::Kernel,
+    mailboxes: Mailboxes,
+    services: &services::Services,
+) {
     let options = &services.options;
     let metrics = &services.metrics;
     let incarnation = services.incarnation;
@@ -81,13 +102,18 @@
         gate::service::run(mailboxes.gate, options.clone(), metrics.clone(), stop)
     });
     kernel.start(name::ADMISSION, |stop| {
-        admission::service::run(mailboxes.admission, options.clone(), metrics.clone(), stop)
+        admission::service::run::<F>(mailboxes.admission, options.clone(), metrics.clone(), stop)
     });
     kernel.start(name::LEDGER, |stop| {
         ledger::service::run(mailboxes.ledger, stop)
     });
     kernel.start(name::TARGET, |stop| {
-        target::service::run(mailboxes.target, services.admission.clone(), stop)
+        target::service::run(
+            mailboxes.target,
+            services.admission.clone(),
+            options.announcement_expiry,
+            stop,
+        )
     });
     kernel.start(name::LINKS, |stop| {
         links::service::run(
@@ -104,15 +130,28 @@
     // longer be settled.
     kernel.start(name::CLAIMS, |stop| {
         let own = services.claims.clone();
-        claims::service::run(mailboxes.claims, own, options.clone(), incarnation, stop)
+        claims::service::run(
+            mailboxes.claims,
+            own,
+            services.contacts.clone(),
+            options.clone(),
+            incarnation,
+            stop,
+        )
     });
     kernel.start(name::LEASE, |stop| {
-        lease::service::run(options.clone(), incarnation, services.gate.clone(), stop)
+        lease::service::run(
+            options.clone(),
+            services.contacts.clone(),
+            incarnation,
+            services.gate.clone(),
+            stop,
+        )
     });
 }
 
 /// Starts the services that accept connections; they stop first.
-fn start_ports(
+fn start_ports<F: Front>(
     kernel: &mut kernel::Kernel,
     listeners: Listeners,
     services: &Rc<services::Services>,
@@ -121,16 +160,17 @@
         admin::service::run(listeners.admin, services.clone(), stop)
     });
     kernel.start(name::PEER, |stop| {
-        peer::service::run(listeners.peer, services.clone(), stop)
+        peer::service::run::<F>(listeners.peer, services.clone(), stop)
     });
     kernel.start(name::CALLER, |stop| {
-        caller::service::run(listeners.caller, services.clone(), stop)
+        caller::service::run::<F>(listeners.caller, services.clone(), stop)
     });
 }
 
 fn context(services: &services::Services) -> sync::service::Context {
     sync::service::Context {
         options: services.options.clone(),
+        contacts: services.contacts.clone(),
         incarnation: services.incarnation,
         metrics: services.metrics.clone(),
         own: services.sync.clone(),
--- a/crates/node/src/services.rs
+++ b/crates/node/src/services.rs
@@ -7,7 +7,8 @@
 use masticarch_wire::http::{budget, connection};
 
 use crate::{
-    activity, admission, claims, gate, ledger, links, metrics, name, options, session, sync, target,
+    activity, admission, claims, contacts, gate, ledger, links, metrics, name, options, session,
+    sync, target,
 };
 
 /// Addresses of the services that connection tasks use, and the settings.
@@ -21,6 +22,8 @@
     pub metrics: metrics::Metrics,
     /// Requests in flight.
     pub activity: activity::Activity,
+    /// Where control processes are reached.
+    pub contacts: contacts::Contacts,
     /// Bound on all buffered bodies.
     pub budget: budget::Budget,
     /// Decisions at the entry.
@@ -51,8 +54,10 @@
         metrics: metrics::Metrics,
     ) -> Result<Self, error::Error> {
         let budget = budget::Budget::new(options.buffer_bytes);
+        let contacts = contacts::Contacts::new(&options.control);
         Ok(Self {
             options,
+            contacts,
             incarnation,
             metrics,
             activity: activity::Activity::default(),
--- a/crates/node/src/sync/service.rs
+++ b/crates/node/src/sync/service.rs
@@ -9,7 +9,7 @@
 use masticarch_wire::message::sync;
 
 use super::{home, message, poll};
-use crate::{admission, gate, leader, metrics, name, options, target as local};
+use crate::{admission, contacts, gate, leader, metrics, name, options, target as local};
 
 /// Longest time that the leader holds a request without news.
 const HOLD_MS: u32 = 500;
@@ -18,6 +18,8 @@
 pub struct Context {
     /// Settings.
     pub options: Rc<options::Options>,
+    /// Where control processes are reached.
+    pub contacts: contacts::Contacts,
     /// Run of this process.
     pub incarnation: incarnation::Incarnation,
     /// Metrics.
@@ -50,7 +52,8 @@
     stop: stop::Stop,
 ) {
     let options = Rc::clone(&context.options);
-    let leader = || leader::Leader::new(options.control.clone(), options.credential.clone());
+    let contacts = context.contacts.clone();
+    let leader = || leader::Leader::new(contacts.clone(), options.credential.clone());
     let polling = poll::run(leader(), context.own.clone());
     let ended = stop.clone();
     drop(task::spawn(name::SYNC, async move {
@@ -167,6 +170,7 @@
         let message = if changed {
             self.directory = Rc::new(directory::Directory::new(&self.view));
             self.homes = home::Homes::new(&self.directory);
+            self.context.contacts.learn(&self.view.control);
             gate::message::Message::Install(Rc::clone(&self.directory), sent)
         } else {
             gate::message::Message::Current(sent)
--- a/crates/node/src/target/announcement.rs
+++ b/crates/node/src/target/announcement.rs
@@ -5,6 +5,8 @@
 use masticarch_model::{name, target};
 use serde::{Deserialize, Serialize};
 
+use super::instance;
+
 /// Body of `PUT /targets/{service}`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -17,6 +19,9 @@
     pub connections: u32,
     /// Whether it takes new work.
     pub state: target::State,
+    /// The run that is announced, where targets tell it.
+    #[serde(default)]
+    pub instance: Option<instance::Instance>,
 }
 
 impl Announcement {
@@ -26,6 +31,23 @@
         self.slots > 0 && self.connections > 0
     }
 
+    /// Whether both say the same of the target, apart from the number of the
+    /// announcement.
+    #[must_use]
+    pub fn is_like(&self, other: &Self) -> bool {
+        self.address == other.address
+            && self.slots == other.slots
+            && self.connections == other.connections
+            && self.state == other.state
+            && self.run() == other.run()
+    }
+
+    /// Name of the run that is announced.
+    #[must_use]
+    pub fn run(&self) -> Option<&str> {
+        self.instance.as_ref().map(|instance| &*instance.id)
+    }
+
     /// The target as the fleet sees it.
     #[must_use]
     pub fn target(&self, service: name::Name) -> target::Target {
--- a/crates/node/src/target/message.rs
+++ b/crates/node/src/target/message.rs
@@ -13,7 +13,9 @@
     /// A target announced itself or renewed its announcement.
     Announce(name::Name, announcement::Announcement),
     /// A target withdrew its announcement.
-    Retract(name::Name),
+    ///
+    /// One that names a run has no effect on a later run.
+    Retract(name::Name, Option<Box<str>>),
     /// Lists the announced targets.
     List(reply::Reply<Vec<target::Target>>),
     /// Takes a connection to a target; `None` when all connections that it
--- a/crates/node/src/target/mod.rs
+++ b/crates/node/src/target/mod.rs
@@ -3,7 +3,7 @@
 
 pub mod announcement;
 pub mod call;
-pub mod headers;
+pub mod instance;
 pub mod job;
 pub mod message;
 pub mod pool;
--- a/crates/node/src/target/run.rs
+++ b/crates/node/src/target/run.rs
@@ -1,20 +1,27 @@
 //! Runs a job at a target beside this node.
 
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use masticarch_model::{code, ran};
-use masticarch_wire::http::{answer, connection, fields, request};
+use masticarch_wire::http::{answer, connection, fields};
 use masticarch_wire::socket;
 
-use super::{call, headers, job, message, pool};
+use super::{call, job, message, pool};
 use crate::admission::{message as admission, permit};
+use crate::front::{Front, errand, judgement};
 use crate::{refusal, services};
 
+/// Time before a target closes an idle connection at which it is no longer used,
+/// because a request could cross the close.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
+/// Answers to other requests that are skipped on one connection.
+const FOREIGN_ANSWERS: usize = 4;
+
 /// Runs a job: waits for admission, exchanges one request and one whole answer
 /// with the target, and tells admission how it ended. Dropping the future
 /// cancels the job.
-pub async fn run(services: &services::Services, job: job::Job) -> job::Outcome {
+pub async fn run<F: Front>(services: &services::Services, job: job::Job) -> job::Outcome {
     let entered = Instant::now();
     let entry = Box::new(job.entry.clone());
     let enter = |slot| admission::Message::Enter(entry, slot);
@@ -29,18 +36,17 @@
         Err(_) => return job::Outcome::refused(refusal::Refusal::draining()),
     };
     services.metrics.queued(entered.elapsed());
-    admitted(services, job, permit).await
+    admitted::<F>(services, job, permit).await
 }
 
-async fn admitted(
+async fn admitted<F: Front>(
     services: &services::Services,
     mut job: job::Job,
     permit: permit::Permit,
 ) -> job::Outcome {
     let mut call = call::Call::new(services.admission.clone(), permit.call);
-    headers::write(&mut job.request, &job.entry, &permit);
     let deadline = monoio::time::Instant::from_std(job.entry.deadline);
-    let exchange = exchange(services, &mut call, permit.address, &job.request);
+    let exchange = exchange::<F>(services, &mut call, &permit, &mut job);
     let (result, end) = match monoio::time::timeout_at(deadline, exchange).await {
         Ok(Ok(answer)) => (Ok(answer), call.answered()),
         Ok(Err(refusal)) => (Err(refusal), call.failed()),
@@ -50,29 +56,81 @@
     job::Outcome { result, summary }
 }
 
-async fn exchange(
+async fn exchange<F: Front>(
     services: &services::Services,
     call: &mut call::Call,
-    address: SocketAddr,
-    request: &request::Request,
+    permit: &permit::Permit,
+    job: &mut job::Job,
 ) -> Result<answer::Answer, refusal::Refusal> {
+    let address = permit.address;
     let mut slot = checkout(services, address).await?;
     let mut connection = match slot.connection.take() {
         Some(connection) => connection,
         // Boxed, as the less frequent way takes more space than the other.
         None => Box::pin(open(address)).await?,
     };
+    let errand = errand::Errand {
+        entry: &job.entry,
+        permit,
+        instance: slot.instance.as_deref(),
+    };
+    fields::strip_internal(&mut job.request.headers);
+    F::instruct(&mut job.request, &errand);
     call.sending();
-    let exchanged = connection.exchange(request, &services.answer_space()).await;
+    let exchanged = connection
+        .exchange(&job.request, &services.answer_space())
+        .await;
     let mut answer = exchanged.map_err(|failure| refusal::Refusal::from(&failure))?;
+    let mut judgement = F::judge(&job.request, &answer);
+    if judgement == judgement::Judgement::Foreign {
+        answer = own_answer::<F>(services, &mut connection, job).await?;
+        judgement = F::judge(&job.request, &answer);
+    }
     if answer.keep_alive {
         slot.connection = Some(connection);
+        slot.expires = fields::idle_limit(&answer.headers).map(|limit| {
+            let kept = limit.saturating_sub(IDLE_MARGIN);
+            Instant::now() + kept
+        });
         let message = message::Message::Checkin(address, slot);
         let _ = services.target.send(message).await;
     }
     fields::strip_hop_by_hop(&mut answer.headers);
     fields::strip_internal(&mut answer.headers);
-    Ok(answer)
+    match judgement {
+        judgement::Judgement::Ran => Ok(answer),
+        judgement::Judgement::NotRun => Err(refusal::Refusal::new(
+            code::Code::TargetRefused,
+            "the target has refused the request",
+        )),
+        judgement::Judgement::Foreign => Err(foreign()),
+    }
+}
+
+/// Reads on until the answer to the request of this job arrives. The
+/// connection is not used again.
+async fn own_answer<F: Front>(
+    services: &services::Services,
+    connection: &mut pool::Connection,
+    job: &job::Job,
+) -> Result<answer::Answer, refusal::Refusal> {
+    let space = services.answer_space();
+    for _ in 0..FOREIGN_ANSWERS {
+        let read = connection.receive_answer(&job.request.method, &space);
+        let mut answer = read.await.map_err(|_| foreign())?;
+        if F::judge(&job.request, &answer) != judgement::Judgement::Foreign {
+            answer.keep_alive = false;
+            return Ok(answer);
+        }
+    }
+    Err(foreign())
+}
+
+fn foreign() -> refusal::Refusal {
+    refusal::Refusal::new(
+        code::Code::TargetFailed,
+        "the target sent an answer to another request",
+    )
 }
 
 async fn checkout(
--- a/crates/node/src/target/service.rs
+++ b/crates/node/src/target/service.rs
@@ -7,7 +7,7 @@
 use masticarch_kernel::{address, mailbox, stop};
 use masticarch_model::{map, name, target};
 
-use super::{announcement, message, pool};
+use super::{announcement, instance, message, pool};
 use crate::admission;
 
 /// A target that has not renewed its announcement for this long is gone.
@@ -23,6 +23,9 @@
 struct Targets {
     admission: address::Address<admission::message::Message>,
     entries: map::Map<name::Name, Entry>,
+    /// The last run of each service that has withdrawn.
+    ended: map::Map<name::Name, instance::Instance>,
+    expiry: Duration,
     pools: map::Map<SocketAddr, pool::Pool>,
 }
 
@@ -30,11 +33,14 @@
 pub async fn run(
     mut mailbox: mailbox::Mailbox<message::Message>,
     admission: address::Address<admission::message::Message>,
+    expiry: Duration,
     stop: stop::Stop,
 ) {
     let mut targets = Targets {
         admission,
         entries: map::Map::default(),
+        ended: map::Map::default(),
+        expiry,
         pools: map::Map::default(),
     };
     let mut look = monoio::time::interval(LOOK);
@@ -57,12 +63,13 @@
             message::Message::Announce(service, announcement) => {
                 self.announce(service, announcement).await;
             }
-            message::Message::Retract(service) => self.retract(&service).await,
+            message::Message::Retract(service, run) => self.withdraw(&service, run).await,
             message::Message::List(reply) => {
                 let _ = reply.send(self.list());
             }
             message::Message::Checkout(address, reply) => {
-                let slot = self.pools.get_mut(&address).and_then(pool::Pool::checkout);
+                let pool = self.pools.get_mut(&address);
+                let slot = pool.and_then(|pool| pool.checkout(Instant::now()));
                 if let Err(Some(slot)) = reply.send(slot) {
                     self.checkin(address, slot);
                 }
@@ -72,9 +79,12 @@
     }
 
     async fn announce(&mut self, service: name::Name, announcement: announcement::Announcement) {
+        if self.is_late(&service, &announcement) {
+            return;
+        }
         let limit = usize::try_from(announcement.connections).unwrap_or(usize::MAX);
         let known = self.entries.get(&service);
-        let same = known.is_some_and(|entry| entry.announcement == announcement);
+        let same = known.is_some_and(|entry| entry.announcement.is_like(&announcement));
         let entry = Entry {
             announcement: announcement.clone(),
             renewed: Instant::now(),
@@ -87,14 +97,41 @@
         {
             self.pools.remove(&before.announcement.address);
         }
-        self.pools
-            .entry(announcement.address)
-            .or_default()
-            .set_limit(limit);
+        let pool = self.pools.entry(announcement.address).or_default();
+        if !pool.is_of(announcement.run()) {
+            *pool = pool::Pool::new(announcement.run());
+        }
+        pool.set_limit(limit);
         self.tell(announcement.target(service), Some(announcement.address))
             .await;
     }
 
+    /// Whether an announcement was overtaken by a later one, or is of a run that
+    /// has withdrawn.
+    fn is_late(&self, service: &name::Name, announcement: &announcement::Announcement) -> bool {
+        let Some(instance) = &announcement.instance else {
+            return false;
+        };
+        let known = self.entries.get(service);
+        let known = known.and_then(|entry| entry.announcement.instance.as_ref());
+        let ended = self.ended.get(service);
+        known.is_some_and(|known| instance.is_before(known))
+            || ended.is_some_and(|ended| instance.started_ms <= ended.started_ms)
+    }
+
+    async fn withdraw(&mut self, service: &name::Name, run: Option<Box<str>>) {
+        let known = self.entries.get(service);
+        let known = known.and_then(|entry| entry.announcement.instance.clone());
+        let other = |run: &str| known.as_ref().is_some_and(|known| *known.id != *run);
+        if run.as_deref().is_some_and(other) {
+            return;
+        }
+        if let Some(known) = known.filter(|_| run.is_some()) {
+            self.ended.insert(service.clone(), known);
+        }
+        self.retract(service).await;
+    }
+
     async fn retract(&mut self, service: &name::Name) {
         if let Some(entry) = self.entries.remove(service) {
             self.pools.remove(&entry.announcement.address);
@@ -107,7 +144,7 @@
         let expired: Vec<name::Name> = self
             .entries
             .iter()
-            .filter(|(_, entry)| entry.renewed.elapsed() > EXPIRY)
+            .filter(|(_, entry)| entry.renewed.elapsed() > self.expiry)
             .map(|(service, _)| service.clone())
             .collect();
         for service in expired {
--- a/crates/node/tests/common/control.rs
+++ b/crates/node/tests/common/control.rs
@@ -64,6 +64,10 @@
 
 fn route(name: &str, idempotent: bool) -> route::Route {
     route::Route {
+        host: None,
+        split: Vec::new(),
+        attempts: None,
+        latency_target: None,
         name: name.into(),
         path: format!("/{name}").into(),
         service: "service".into(),
--- a/crates/policy/src/limit/mod.rs
+++ b/crates/policy/src/limit/mod.rs
@@ -1,6 +1,7 @@
 //! Limits on the number of requests that run at a target at once.
 
 pub mod adaptive;
+pub mod announced;
 pub mod sample;
 pub mod unlimited;
 mod window;
--- a/crates/policy/src/route/mod.rs
+++ b/crates/policy/src/route/mod.rs
@@ -3,3 +3,4 @@
 pub mod load;
 pub mod locality;
 pub mod pool;
+pub mod split;
--- /dev/null
+++ b/crates/policy/src/route/split.rs
@@ -0,0 +1,43 @@
+//! Division of traffic by weights.
+
+/// Gives each part its share of the requests in an even order: the part to which
+/// most is due takes the next one.
+#[derive(Clone, Debug, Default)]
+pub struct Split {
+    /// Requests due to each part, less those that it took.
+    due: Vec<f64>,
+}
+
+impl Split {
+    /// The part that takes the next request; `None` when there are no parts.
+    /// Where all weights are 0 the parts are equal. `draw` gives numbers from 0
+    /// to 1; they set the start, so that many nodes do not begin with the same
+    /// part.
+    pub fn choose(
+        &mut self,
+        weights: impl Iterator<Item = u32> + Clone,
+        draw: impl FnMut() -> f64,
+    ) -> Option<usize> {
+        let total: f64 = weights.clone().map(f64::from).sum();
+        let count = weights.clone().count();
+        let share = |weight: u32| {
+            if total > 0.0 {
+                f64::from(weight) / total
+            } else {
+                1.0
+            }
+        };
+        if self.due.len() != count {
+            self.due = std::iter::repeat_with(draw).take(count).collect();
+        }
+        for (due, weight) in self.due.iter_mut().zip(weights.clone()) {
+            *due += share(weight);
+        }
+        let usable = weights.map(|weight| total == 0.0 || weight > 0);
+        let best = self.due.iter().zip(usable).enumerate();
+        let best = best.filter(|(_, (_, usable))| *usable);
+        let (index, _) = best.max_by(|(_, (left, _)), (_, (right, _))| left.total_cmp(right))?;
+        self.due[index] -= 1.0;
+        Some(index)
+    }
+}
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -167,6 +167,15 @@
     }
 }
 
+/// The identity of a data directory; `None` when it is new or empty.
+///
+/// # Errors
+/// [`error::Error::Corrupt`] or [`error::Error::Io`].
+pub fn identity<D: disk::Disk>(disk: &D) -> Result<Option<Vec<u8>>, error::Error> {
+    let known = list(disk)?.iter().any(|name| name == IDENTITY);
+    known.then(|| load(disk, IDENTITY)).transpose()
+}
+
 fn list<D: disk::Disk>(disk: &D) -> Result<Vec<String>, error::Error> {
     disk.list()
         .map_err(error::Error::io("list", "the data directory"))
--- a/crates/testsuite/src/operation.rs
+++ b/crates/testsuite/src/operation.rs
@@ -39,6 +39,7 @@
         burst: 1,
     };
     change::Change {
+        document: None,
         id,
         expected,
         operator: name::Name::new("tester"),
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -17,6 +17,8 @@
 pub const WEIGHT: &str = "masticarch-weight";
 /// Team for which a request runs, as targets and nodes see it.
 pub const TEAM: &str = "masticarch-team";
+/// Service beside the node where a request entered the fleet, between nodes.
+pub const CALLER: &str = "masticarch-caller";
 /// Route of a request between nodes.
 pub const ROUTE: &str = "masticarch-route";
 /// Service of a request between nodes.
--- a/crates/wire/src/http/connection.rs
+++ b/crates/wire/src/http/connection.rs
@@ -219,7 +219,11 @@
         Ok(())
     }
 
-    async fn receive_answer(
+    /// Reads one more answer to a request with this method.
+    ///
+    /// # Errors
+    /// A [`fault::Fault`], after which the connection must be closed.
+    pub async fn receive_answer(
         &mut self,
         method: &Method,
         space: &Space,
@@ -238,8 +242,9 @@
             let framing = framing::Framing::answer(method, head.status, &head.headers)?;
             let whole = self.body(framing, space).await?;
             // Bytes after the answer belong to no request of this connection.
-            let keep_alive =
-                self.input.is_empty() && request::keeps_alive(head.version, &head.headers);
+            let keep_alive = self.input.is_empty()
+                && framing != framing::Framing::UntilClose
+                && request::keeps_alive(head.version, &head.headers);
             return Ok(answer::Answer {
                 status: head.status,
                 headers: head.headers,
@@ -305,6 +310,7 @@
                 bytes: self.fixed(length).await?,
             }),
             framing::Framing::Chunked => self.chunked(space).await,
+            framing::Framing::UntilClose => self.until_close(space).await,
         }
     }
 
@@ -348,6 +354,24 @@
         }
     }
 
+    /// Reads a body that ends with an orderly close.
+    async fn until_close(&mut self, space: &Space) -> Result<Whole, fault::Fault> {
+        let share = space.take(self.input.len())?;
+        loop {
+            let before = self.input.len();
+            if before > space.max_body {
+                return Err(fault::Fault::BodyTooLarge);
+            }
+            match self.fill_up(READ_BYTES).await? {
+                0 => break,
+                read if !share.grow(read) => return Err(fault::Fault::BufferFull),
+                _ => {}
+            }
+        }
+        let bytes = std::mem::take(&mut self.input).freeze();
+        Ok(Whole { bytes, share })
+    }
+
     async fn chunk(
         &mut self,
         decoder: &mut decoder::ChunkedBodyDecoder,
@@ -366,27 +390,29 @@
     }
 
     async fn fill_body(&mut self, space: usize) -> Result<(), fault::Fault> {
-        self.fill_up(space.max(READ_BYTES))
-            .await
-            .map_err(|_| fault::Fault::Truncated)
+        match self.fill_up(space.max(READ_BYTES)).await {
+            Ok(0) | Err(_) => Err(fault::Fault::Truncated),
+            Ok(_) => Ok(()),
+        }
     }
 
     async fn fill(&mut self) -> Result<(), fault::Fault> {
-        self.fill_up(READ_BYTES).await
+        match self.fill_up(READ_BYTES).await {
+            Ok(0) | Err(_) => Err(fault::Fault::Closed),
+            Ok(_) => Ok(()),
+        }
     }
 
-    /// Reads some bytes behind those in the buffer.
-    async fn fill_up(&mut self, space: usize) -> Result<(), fault::Fault> {
+    /// Reads some bytes behind those in the buffer; 0 when the other side has
+    /// closed in an orderly way.
+    async fn fill_up(&mut self, space: usize) -> Result<usize, fault::Fault> {
         let mut input = std::mem::take(&mut self.input);
         input.reserve(space);
         let start = input.len();
         let end = input.capacity();
         let (read, slice) = self.stream.read(input.slice_mut(start..end)).await;
         self.input = slice.into_inner();
-        match read {
-            Ok(0) | Err(_) => Err(fault::Fault::Closed),
-            Ok(_) => Ok(()),
-        }
+        read.map_err(|_| fault::Fault::Truncated)
     }
 
     async fn write(&mut self, bytes: Bytes) -> Result<(), fault::Fault> {
--- a/crates/wire/src/http/fields.rs
+++ b/crates/wire/src/http/fields.rs
@@ -1,5 +1,7 @@
 //! Headers that must not be passed on.
 
+use std::time::Duration;
+
 use http::header::{self, HeaderName};
 use http::{HeaderMap, HeaderValue};
 
@@ -51,6 +53,25 @@
     headers.get(name)?.to_str().ok()
 }
 
+/// The host of a request in lower case, without its port.
+#[must_use]
+pub fn host(headers: &HeaderMap) -> Option<Box<str>> {
+    let text = text(headers, header::HOST.as_str())?;
+    let host = match text.rsplit_once(':') {
+        Some((host, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => host,
+        _ => text,
+    };
+    Some(host.to_ascii_lowercase().into())
+}
+
+/// How long the sender keeps an idle connection, as it tells in `keep-alive`.
+#[must_use]
+pub fn idle_limit(headers: &HeaderMap) -> Option<Duration> {
+    let parameters = text(headers, "keep-alive")?.split(',');
+    let mut seconds = parameters.filter_map(|one| one.trim().strip_prefix("timeout="));
+    seconds.next()?.parse().ok().map(Duration::from_secs)
+}
+
 /// The number in a header, if it is there and is one.
 #[must_use]
 pub fn number<T: std::str::FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
--- a/crates/wire/src/http/framing.rs
+++ b/crates/wire/src/http/framing.rs
@@ -13,6 +13,8 @@
     Length(usize),
     /// The body comes in chunks.
     Chunked,
+    /// The body ends with the connection.
+    UntilClose,
 }
 
 impl Framing {
@@ -24,11 +26,11 @@
         Ok(Self::declared(headers)?.unwrap_or(Self::None))
     }
 
-    /// Framing of an answer. A body that ends with the connection is refused,
-    /// because its end cannot be told from a truncation.
+    /// Framing of an answer. A body without a length ends with the connection;
+    /// an orderly close is its end, a reset is a truncation.
     ///
     /// # Errors
-    /// As [`Self::request`], and [`fault::Fault::Truncated`].
+    /// As [`Self::request`].
     pub fn answer(
         method: &Method,
         status: StatusCode,
@@ -42,7 +44,7 @@
         if bodiless {
             return Ok(Self::None);
         }
-        declared.ok_or(fault::Fault::Truncated)
+        Ok(declared.unwrap_or(Self::UntilClose))
     }
 
     fn declared(headers: &HeaderMap) -> Result<Option<Self>, fault::Fault> {
