Draw tokens for waiting requests from the owner's pool

Ruled out: a longer wait (the aim of some requests is 250 ms).

Change: requests that wait for a token are reported at once, and the owner gives whole tokens from its pool. They count towards the burst for as long as they may be used. Holders whose share would be below one request get none. Up to a fifth of a limit stays in the pool while the demand is within it. The fleet simulation draws as well; its bound stands.

--- a/crates/control/examples/capacity.rs
+++ b/crates/control/examples/capacity.rs
@@ -377,6 +377,7 @@
             _ => (index * TEAMS_PER_NODE + step) % size.teams,
         };
         lease::Report {
+            wanted: 0.0,
             team: team_name(team).as_str().into(),
             held: lease::Share::default(),
             released: 0.0,
--- a/crates/control/src/member/lease.rs
+++ b/crates/control/src/member/lease.rs
@@ -43,6 +43,7 @@
         },
         released: report.released,
         demand: report.demand,
+        wanted: report.wanted,
     }
 }
 
@@ -54,5 +55,6 @@
             burst: grant.share.burst,
         },
         tokens: grant.tokens,
+        drawn: grant.drawn,
     }
 }
--- a/crates/control/tests/ports.rs
+++ b/crates/control/tests/ports.rs
@@ -281,6 +281,7 @@
         node: "alertas-1".into(),
         incarnation: incarnation::Incarnation(7),
         reports: vec![lease::Report {
+            wanted: 0.0,
             team: "arica".into(),
             held: lease::Share::default(),
             released: 0.0,
--- a/crates/node/src/gate/teams.rs
+++ b/crates/node/src/gate/teams.rs
@@ -120,6 +120,7 @@
             };
             let holder = &mut self.arena[slot].holder;
             holder.grant(share, grant.tokens, sent, now);
+            holder.draw(grant.drawn, sent, now);
             self.schedule(slot);
         }
     }
@@ -171,5 +172,6 @@
         },
         released: report.released,
         demand: report.demand_per_second,
+        wanted: report.wanted,
     }
 }
--- a/crates/node/src/lease/service.rs
+++ b/crates/node/src/lease/service.rs
@@ -76,7 +76,9 @@
     fn has_changed(&self, report: &lease::Report) -> bool {
         let before = self.last.iter().find(|before| before.team == report.team);
         before.is_none_or(|before| {
-            report.released > 0.0 || (report.demand - before.demand).abs() > before.demand * CHANGE
+            report.released > 0.0
+                || report.wanted > 0.0
+                || (report.demand - before.demand).abs() > before.demand * CHANGE
         })
     }
 
--- a/crates/policy/src/share/account.rs
+++ b/crates/policy/src/share/account.rs
@@ -1,5 +1,6 @@
 //! Shares and tokens of one team's limit.
 
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use masticarch_model::{incarnation, map};
@@ -29,6 +30,8 @@
     pub share: lease::Share,
     /// Tokens moved from the pool.
     pub tokens: f64,
+    /// Tokens for waiting requests, apart from the share.
+    pub drawn: f64,
 }
 
 /// The owner's account of one team's limit. The sum of the counted shares and
@@ -40,6 +43,10 @@
     counted: lease::Share,
     /// Tokens that no holder has.
     pool: f64,
+    /// Drawn tokens that may still be used, by the end of that time.
+    draws: VecDeque<(Instant, f64)>,
+    /// Sum of `draws`; it takes part of the burst.
+    drawn: f64,
     filled: Instant,
     level: level::Level,
     computed: Option<Instant>,
@@ -53,6 +60,8 @@
             holdings: map::Map::default(),
             counted: lease::Share::default(),
             pool: 0.0,
+            draws: VecDeque::new(),
+            drawn: 0.0,
             filled: now,
             level: level::Level::default(),
             computed: None,
@@ -133,7 +142,14 @@
         let share = self.share(node, held, demand, now < opened);
         self.count(now, node, held.max(share), demand);
         let tokens = self.take_tokens(held, share, demand);
-        Decision { share, tokens }
+        let wanted = amount(report.wanted) - tokens;
+        let scarce = !self.level.is_within() && !share.is_empty();
+        let drawn = if scarce { 0.0 } else { self.draw(now, wanted) };
+        Decision {
+            share,
+            tokens,
+            drawn,
+        }
     }
 
     /// The share for a holder that is counted with `held`.
@@ -145,12 +161,20 @@
         closed: bool,
     ) -> lease::Share {
         let others = self.counted.less(held);
-        let free = self.limit.less(others);
+        let mut free = self.limit.less(others);
+        free.burst = (free.burst - self.drawn).max(0.0);
         let holding = self.holdings.get(&node);
         let kept = holding.map(|holding| holding.kept).unwrap_or_default();
         let most = free.max(kept.min(held));
         let target = self.level.target(demand).min(most);
-        if closed { target.min(held) } else { target }
+        if closed {
+            return target.min(held);
+        }
+        // A bucket that never holds a token only takes rate from the others.
+        if target.burst < 1.0 {
+            return lease::Share::default();
+        }
+        target
     }
 
     /// Sets what a holder is counted with, from now until its lease ends.
@@ -178,6 +202,7 @@
 
     /// Adds what the rate that nobody may be using yielded since the last call.
     fn fill(&mut self, now: Instant, opened: Instant) {
+        self.end_draws(now);
         let from = self.filled.max(opened);
         let elapsed = now.saturating_duration_since(from).as_secs_f64();
         self.filled = now.max(self.filled);
@@ -186,7 +211,30 @@
     }
 
     fn trim_pool(&mut self) {
-        self.pool = self.pool.min(self.limit.less(self.counted).burst);
+        let free = self.limit.less(self.counted).burst - self.drawn;
+        self.pool = self.pool.min(free.max(0.0));
+    }
+
+    /// Gives whole tokens to waiting requests. They count towards the burst for
+    /// as long as they may be used.
+    fn draw(&mut self, now: Instant, wanted: f64) -> f64 {
+        let drawn = wanted.min(self.pool).floor();
+        if drawn < 1.0 {
+            return 0.0;
+        }
+        self.pool -= drawn;
+        self.drawn += drawn;
+        self.draws.push_back((now + lease::DRAW_COUNTED, drawn));
+        drawn
+    }
+
+    fn end_draws(&mut self, now: Instant) {
+        while let Some((_, drawn)) = self.draws.pop_front_if(|(until, _)| *until <= now) {
+            self.drawn -= drawn;
+        }
+        if self.draws.is_empty() {
+            self.drawn = 0.0;
+        }
     }
 
     /// Moves tokens to a holder: enough to fill the part by which its bucket
--- a/crates/policy/src/share/bucket.rs
+++ b/crates/policy/src/share/bucket.rs
@@ -32,6 +32,16 @@
         self.share
     }
 
+    /// Tokens at present.
+    pub const fn tokens(&self) -> f64 {
+        self.tokens
+    }
+
+    /// The time up to which tokens were added.
+    pub const fn at(&self) -> Instant {
+        self.at
+    }
+
     /// Adds the tokens earned since the last call.
     pub fn advance(&mut self, now: Instant) {
         let elapsed = now.saturating_duration_since(self.at);
--- a/crates/policy/src/share/holder.rs
+++ b/crates/policy/src/share/holder.rs
@@ -42,6 +42,8 @@
     bucket: bucket::Bucket,
     expires: Option<Instant>,
     released: f64,
+    /// Drawn tokens, for requests that wait.
+    drawn: f64,
     demand: demand::Demand,
     reported: Option<Reported>,
     waiting: VecDeque<Waiter<T>>,
@@ -55,6 +57,7 @@
             bucket: bucket::Bucket::new(now),
             expires: None,
             released: 0.0,
+            drawn: 0.0,
             demand: demand::Demand::new(now),
             reported: None,
             waiting: VecDeque::new(),
@@ -85,7 +88,7 @@
         if waiter.until <= now {
             return decision::Decision::Refuse(waiter.item);
         }
-        if self.bucket.take() {
+        if self.bucket.take() || self.take_drawn() {
             return decision::Decision::Pass(waiter.item);
         }
         self.waiting.push_front(waiter);
@@ -105,6 +108,9 @@
     #[must_use]
     pub fn wake(&self) -> Option<Instant> {
         let until = self.waiting.front()?.until;
+        if self.drawn >= 1.0 {
+            return Some(self.bucket.at());
+        }
         let token = self.bucket.next_token();
         Some(token.map_or(until, |token| token.min(until)))
     }
@@ -127,6 +133,31 @@
         self.expires = self.expires.max(Some(expires));
     }
 
+    /// Takes drawn tokens in answer to a request that was sent at `sent`. What
+    /// waiting requests do not need, or what comes too late, is released with the
+    /// next report.
+    pub fn draw(&mut self, tokens: f64, sent: Instant, now: Instant) {
+        self.advance(now);
+        let in_time = now < sent + lease::DRAW;
+        let needed = if in_time { self.missing() } else { 0.0 };
+        self.drawn = tokens.min(needed);
+        self.released += tokens - self.drawn;
+    }
+
+    /// Tokens that the waiting requests lack.
+    fn missing(&self) -> f64 {
+        let waiting = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX);
+        (f64::from(waiting) - self.bucket.tokens().floor()).max(0.0)
+    }
+
+    fn take_drawn(&mut self) -> bool {
+        let enough = self.drawn >= 1.0;
+        if enough {
+            self.drawn -= 1.0;
+        }
+        enough
+    }
+
     /// Makes the report of the next lease request. Released tokens are in one
     /// report only: if it is lost, so are they.
     pub fn report(&mut self, now: Instant) -> report::Report {
@@ -140,6 +171,7 @@
             held: self.bucket.share(),
             released: std::mem::take(&mut self.released),
             demand_per_second,
+            wanted: self.missing(),
         }
     }
 
@@ -153,7 +185,10 @@
         };
         let change = (demand - reported.demand_per_second).abs();
         let quarter = URGENT_PART * reported.demand_per_second;
-        let urgent = change > quarter.max(URGENT_MIN_PER_SECOND) || self.is_starved();
+        if self.is_starved() {
+            return Some(now);
+        }
+        let urgent = change > quarter.max(URGENT_MIN_PER_SECOND);
         urgent.then(|| reported.at + URGENT_INTERVAL)
     }
 
--- a/crates/policy/src/share/lease.rs
+++ b/crates/policy/src/share/lease.rs
@@ -11,6 +11,12 @@
 /// for clocks that run at different rates.
 pub const COUNTED: Duration = Duration::from_millis(5250);
 
+/// Time for which drawn tokens may be used, by the holder's clock, from before
+/// the request was sent. A request waits for a token no longer.
+pub const DRAW: Duration = Duration::from_millis(400);
+/// Time for which the owner counts drawn tokens, by its own clock.
+pub const DRAW_COUNTED: Duration = Duration::from_millis(420);
+
 /// Part of a team's limit, or the whole of it.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Share {
@@ -76,6 +82,8 @@
     pub released: f64,
     /// Measured demand in requests per second, refused ones included.
     pub demand: f64,
+    /// Tokens that waiting requests need now, beyond those in the bucket.
+    pub wanted: f64,
 }
 
 /// A holder's reports on its teams.
@@ -100,6 +108,9 @@
     pub share: Share,
     /// Tokens moved from the owner's pool into the holder's bucket.
     pub tokens: f64,
+    /// Whole tokens for waiting requests; they count apart from the share, and
+    /// only for [`DRAW`].
+    pub drawn: f64,
 }
 
 /// The limit of one team.
--- a/crates/policy/src/share/level.rs
+++ b/crates/policy/src/share/level.rs
@@ -2,9 +2,11 @@
 
 use super::lease;
 
-/// Part of a limit that is kept for holders that become active, so that they
-/// need not wait until the others have shrunk.
+/// Part of a limit for each active holder that is kept for holders that become
+/// active, or whose requests find their bucket empty.
 const RESERVE: f64 = 0.04;
+/// Largest part that is kept.
+const MOST_RESERVE: f64 = 0.2;
 /// Rate for each unit of demand when the limit allows it, so that demand can
 /// grow between two reports.
 const HEADROOM: f64 = 1.25;
@@ -27,6 +29,11 @@
     smallest_burst: f64,
     /// Burst that is divided in proportion to rate.
     divided_burst: f64,
+    /// Where there is less than one request of burst for each holder: burst for
+    /// each unit of demand.
+    scarce_burst: Option<f64>,
+    /// Whether the demand is within the limit.
+    within: bool,
 }
 
 impl Level {
@@ -35,8 +42,12 @@
         let mut wanted: Vec<f64> = demand.filter(|demand| *demand > 0.0).collect();
         wanted.sort_by(f64::total_cmp);
         let count = number(wanted.len());
-        let usable = limit.rate * (1.0 - RESERVE);
-        let usable_burst = limit.burst * (1.0 - RESERVE);
+        let sum: f64 = wanted.iter().sum();
+        let spare = 1.0 - HEADROOM * sum / limit.rate;
+        let most = (RESERVE * count).min(MOST_RESERVE);
+        let used = 1.0 - spare.clamp(RESERVE, most.max(RESERVE));
+        let usable = limit.rate * used;
+        let usable_burst = limit.burst * used;
         let smallest_burst = (usable_burst / count.max(1.0)).clamp(1.0, SMALLEST_BURST);
         Self {
             limit,
@@ -44,16 +55,28 @@
             scale: scale(&wanted, usable),
             smallest_burst,
             divided_burst: (usable_burst - smallest_burst * count).max(0.0),
+            within: sum < usable,
+            scarce_burst: (usable_burst < count).then(|| usable_burst / sum),
         }
     }
 
-    /// The share that a holder should have.
+    /// Whether the demand is within the limit. Beyond it tokens are divided by
+    /// shares only, because those who ask most often would get most.
+    pub const fn is_within(&self) -> bool {
+        self.within
+    }
+
+    /// The share that a holder should have; a bucket for less than one request
+    /// is of no use to it.
     pub fn target(&self, demand: f64) -> lease::Share {
         if demand <= 0.0 || self.limit.is_empty() {
             return lease::Share::default();
         }
         let rate = demand.min(self.ceiling) * self.scale;
-        let burst = self.smallest_burst + self.divided_burst * rate / self.limit.rate;
+        let burst = match self.scarce_burst {
+            Some(scarce) => demand * scarce,
+            None => self.smallest_burst + self.divided_burst * rate / self.limit.rate,
+        };
         lease::Share { rate, burst }
     }
 }
--- a/crates/policy/src/share/owner.rs
+++ b/crates/policy/src/share/owner.rs
@@ -139,6 +139,7 @@
             team: report.team.clone(),
             share: decision.map(|decision| decision.share).unwrap_or_default(),
             tokens: decision.map_or(0.0, |decision| decision.tokens),
+            drawn: decision.map_or(0.0, |decision| decision.drawn),
         }
     }
 
--- a/crates/policy/src/share/report.rs
+++ b/crates/policy/src/share/report.rs
@@ -11,4 +11,6 @@
     pub released: f64,
     /// Requests per second, refused ones included.
     pub demand_per_second: f64,
+    /// Tokens that waiting requests need now.
+    pub wanted: f64,
 }
--- a/crates/policy/tests/share_fleet/mod.rs
+++ b/crates/policy/tests/share_fleet/mod.rs
@@ -56,6 +56,8 @@
     pub share: lease::Share,
     tokens: f64,
     released: f64,
+    /// Drawn tokens, which are used in the next step.
+    drawn: f64,
     lease_ends: Instant,
     frozen_until: Instant,
     /// When the outstanding request was sent.
@@ -75,6 +77,7 @@
             share: lease::Share::default(),
             tokens: 0.0,
             released: 0.0,
+            drawn: 0.0,
             lease_ends: now,
             frozen_until: now,
             asked: None,
@@ -96,10 +99,19 @@
         self.tokens = (self.tokens + self.share.rate * step).min(self.share.burst);
         let served = self.tokens.min(self.demand * step);
         self.tokens -= served;
+        let served = served + std::mem::take(&mut self.drawn);
         self.served += served;
         served
     }
 
+    /// Whole tokens for the demand of one step; a holder with tokens wants none.
+    fn wanted(&self) -> f64 {
+        if self.tokens >= 1.0 {
+            return 0.0;
+        }
+        (self.demand * STEP.as_secs_f64()).ceil()
+    }
+
     fn wants_to_report(&self, now: Instant) -> bool {
         let elapsed = now.duration_since(self.reported);
         let change = (self.demand - self.reported_demand).abs();
@@ -121,11 +133,12 @@
                 held: self.share,
                 released: std::mem::take(&mut self.released),
                 demand: self.demand,
+                wanted: self.wanted(),
             }],
         }
     }
 
-    fn receive(&mut self, answered: &Answered) {
+    fn receive(&mut self, now: Instant, answered: &Answered) {
         let Some(asked) = self.asked else { return };
         if answered.connection != self.connection {
             return;
@@ -138,6 +151,11 @@
         let whole = self.tokens + answered.grant.tokens;
         self.tokens = whole.min(share.burst);
         self.released += whole - self.tokens;
+        if now < asked + lease::DRAW {
+            self.drawn += answered.grant.drawn;
+        } else {
+            self.released += answered.grant.drawn;
+        }
     }
 }
 
@@ -332,7 +350,7 @@
         };
         let replies: Vec<_> = self.answered.extract_if(.., arrived).collect();
         for (index, answered) in replies {
-            self.holders[index].receive(&answered);
+            self.holders[index].receive(now, &answered);
         }
     }
 }
--- a/crates/wire/src/message/lease.rs
+++ b/crates/wire/src/message/lease.rs
@@ -26,6 +26,8 @@
     /// Demand measured at the node, in requests per second, refused ones
     /// included.
     pub demand: f64,
+    /// Tokens that waiting requests need now, beyond those in the bucket.
+    pub wanted: f64,
 }
 
 /// Sent by a node, one at a time.
@@ -48,6 +50,9 @@
     pub share: Share,
     /// Tokens moved from the owner's pool into the node's bucket.
     pub tokens: f64,
+    /// Whole tokens for waiting requests, to be used within 400 ms of the
+    /// request.
+    pub drawn: f64,
 }
 
 /// The owner's answer, given after it has confirmed its leadership.
