--- a/crates/agreement/src/agreement/mod.rs
+++ b/crates/agreement/src/agreement/mod.rs
@@ -11,8 +11,8 @@
 
 use crate::{
     assembly, change, effects, entry, index, log, membership, message, options, outbox, payload,
-    peer, position, random, recovered, refusal, role, sequence, snapshot, stage, status, term,
-    ticket, vote, write,
+    peer, position, random, recovered, refusal, role, rounds, sequence, snapshot, stage, status,
+    term, ticket, vote, write,
 };
 
 /// The consensus state of one member.
@@ -162,11 +162,27 @@
     /// # Errors
     /// [`refusal::Refusal::NotLeader`].
     pub fn confirm(&mut self) -> Result<ticket::Ticket, refusal::Refusal> {
+        self.draw_ticket(rounds::Rounds::wait)
+    }
+
+    /// Draws a ticket as [`Self::confirm`] does. It waits for the next regular
+    /// heartbeat, so that it costs no message.
+    ///
+    /// # Errors
+    /// [`refusal::Refusal::NotLeader`].
+    pub fn confirm_by_heartbeat(&mut self) -> Result<ticket::Ticket, refusal::Refusal> {
+        self.draw_ticket(rounds::Rounds::wait_for_heartbeat)
+    }
+
+    fn draw_ticket(
+        &mut self,
+        wait: impl FnOnce(&mut rounds::Rounds, ticket::Ticket),
+    ) -> Result<ticket::Ticket, refusal::Refusal> {
         self.require_leader()?;
         let ticket = ticket::Ticket(self.next_ticket);
         self.next_ticket += 1;
         if let Some(leader) = self.stage.leader_mut() {
-            leader.rounds.wait(ticket);
+            wait(&mut leader.rounds, ticket);
         }
         Ok(ticket)
     }
--- a/crates/agreement/src/rounds.rs
+++ b/crates/agreement/src/rounds.rs
@@ -14,23 +14,30 @@
 pub struct Rounds {
     started: u64,
     finished: u64,
+    /// Last round that a ticket cannot wait for.
+    urgent: u64,
     /// In the order of their rounds.
     waiting: Vec<Waiting>,
 }
 
 impl Rounds {
-    /// Makes a ticket wait for the next round to start.
+    /// Makes a ticket wait for the next round, which starts soon.
     pub fn wait(&mut self, ticket: ticket::Ticket) {
+        self.urgent = self.started + 1;
+        self.wait_for_heartbeat(ticket);
+    }
+
+    /// Makes a ticket wait for the next round, which may be the next regular
+    /// heartbeat.
+    pub fn wait_for_heartbeat(&mut self, ticket: ticket::Ticket) {
         let round = self.started + 1;
         self.waiting.push(Waiting { round, ticket });
     }
 
-    /// Whether a round should start for tickets. One round is under way at a
+    /// Whether a round should start for tickets that cannot wait. One round is under way at a
     /// time, so that a burst of tickets shares one.
     pub fn is_due(&self) -> bool {
-        let last = self.waiting.last();
-        let waits = last.is_some_and(|wait| wait.round > self.started);
-        waits && self.started == self.finished
+        self.urgent > self.started && self.started == self.finished
     }
 
     /// Starts a round and returns its number.
--- a/crates/control/examples/capacity.rs
+++ b/crates/control/examples/capacity.rs
@@ -264,6 +264,7 @@
 fn print_leases(size: Size) {
     let reports = |count| {
         let report = |index| wire::Report {
+            wanted: 0.0,
             team: team_name(index).as_str().into(),
             held: wire::Share {
                 rate: 12.5,
@@ -289,6 +290,7 @@
         message::encode(&reports(1)).len(),
     );
     let grant = |index| wire::Grant {
+        drawn: 0.0,
         team: team_name(index).as_str().into(),
         share: wire::Share {
             rate: 12.5,
--- a/crates/control/src/agreement/client.rs
+++ b/crates/control/src/agreement/client.rs
@@ -44,8 +44,9 @@
     ///
     /// # Errors
     /// [`code::Code::NotLeader`] or [`code::Code::NoQuorum`].
-    pub async fn confirm(&self) -> Result<(), code::Code> {
-        self.ask(message::Message::Confirm).await
+    pub async fn confirm(&self, pace: message::Pace) -> Result<(), code::Code> {
+        self.ask(|reply| message::Message::Confirm(pace, reply))
+            .await
     }
 
     /// Asks for a change of the members.
--- a/crates/control/src/agreement/service.rs
+++ b/crates/control/src/agreement/service.rs
@@ -164,10 +164,7 @@
                 let slot = waiting::Slot::Command(reply);
                 self.propose(slot, |agreement| agreement.propose(command));
             }
-            message::Message::Confirm(reply) => match self.active(agreement::Agreement::confirm) {
-                Ok(ticket) => self.waiting.confirm(ticket, reply),
-                Err(code) => drop(reply.send(Err(code))),
-            },
+            message::Message::Confirm(pace, reply) => self.confirm(pace, reply),
             message::Message::Status(reply) => drop(reply.send(self.status())),
             message::Message::AddLearner(member, reply) => {
                 self.change(change::Change::AddLearner(member), reply);
@@ -182,6 +179,17 @@
         }
     }
 
+    fn confirm(&mut self, pace: message::Pace, reply: reply::Reply<Result<(), code::Code>>) {
+        let draw = match pace {
+            message::Pace::Now => agreement::Agreement::confirm,
+            message::Pace::Heartbeat => agreement::Agreement::confirm_by_heartbeat,
+        };
+        match self.active(draw) {
+            Ok(ticket) => self.waiting.confirm(ticket, reply),
+            Err(code) => drop(reply.send(Err(code))),
+        }
+    }
+
     fn change(&mut self, change: change::Change, reply: reply::Reply<Result<(), code::Code>>) {
         let slot = waiting::Slot::Change(reply);
         self.propose(slot, |agreement| agreement.change(change));
--- a/crates/control/src/member/lease.rs
+++ b/crates/control/src/member/lease.rs
@@ -4,7 +4,7 @@
 use masticarch_policy::share::lease as policy;
 use masticarch_wire::message::lease;
 
-use crate::{allotment, services};
+use crate::{agreement, allotment, services};
 
 /// Grants shares after leadership is confirmed by a round that starts after the
 /// request arrived, so that a deposed leader grants nothing.
@@ -16,7 +16,13 @@
     connection: u64,
     request: lease::Request,
 ) -> Result<lease::Reply, error::Error> {
-    if services.log.confirm().await.is_err() {
+    let is_waited_for = request.reports.iter().any(|report| report.wanted > 0.0);
+    let pace = if is_waited_for {
+        agreement::message::Pace::Now
+    } else {
+        agreement::message::Pace::Heartbeat
+    };
+    if services.log.confirm(pace).await.is_err() {
         return Ok(lease::Reply::NotLeader(services.log.leader().await));
     }
     let request = policy::Request {
--- a/crates/control/src/member/sync.rs
+++ b/crates/control/src/member/sync.rs
@@ -7,7 +7,7 @@
 use masticarch_wire::message::sync;
 
 use crate::registry::{answer, presence};
-use crate::{membership, registry, services};
+use crate::{agreement, membership, registry, services};
 
 /// Longest time for which a poll is held, whatever the node asks for.
 const MAX_HOLD: Duration = Duration::from_secs(1);
@@ -24,7 +24,12 @@
 ) -> Result<sync::Reply, code::Code> {
     // The round starts after the request arrived, and the registry is asked
     // after the round: the node is current as of when it sent the request.
-    if services.log.confirm().await.is_err() {
+    if services
+        .log
+        .confirm(agreement::message::Pace::Heartbeat)
+        .await
+        .is_err()
+    {
         return Ok(sync::Reply::NotLeader(services.log.leader().await));
     }
     let held = request.held;
--- a/crates/control/src/operator/call.rs
+++ b/crates/control/src/operator/call.rs
@@ -118,7 +118,7 @@
 }
 
 async fn confirm(services: &services::Services) -> Result<(), code::Code> {
-    services.log.confirm().await
+    services.log.confirm(agreement::message::Pace::Now).await
 }
 
 const fn stopped(_: error::Error) -> code::Code {
--- a/crates/control/tests/group/mod.rs
+++ b/crates/control/tests/group/mod.rs
@@ -137,7 +137,8 @@
     }
 
     pub async fn confirm(&self) -> Result<(), code::Code> {
-        self.address.ask(message::Message::Confirm).await.unwrap()
+        let confirm = |reply| message::Message::Confirm(message::Pace::Now, reply);
+        self.address.ask(confirm).await.unwrap()
     }
 
     pub async fn status(&self) -> status::Status {
--- a/crates/node/src/sync/service.rs
+++ b/crates/node/src/sync/service.rs
@@ -12,7 +12,7 @@
 use crate::{admission, contacts, gate, leader, metrics, name, options, target as local};
 
 /// Longest time that the leader holds a request without news.
-const HOLD_MS: u32 = 500;
+const HOLD_MS: u32 = 1000;
 
 /// What the service works with.
 pub struct Context {
--- a/crates/policy/src/share/holder.rs
+++ b/crates/policy/src/share/holder.rs
@@ -10,9 +10,9 @@
 pub const LEASE: Duration = lease::LEASE;
 /// Shortest time between two reports because of changed demand.
 pub const URGENT_INTERVAL: Duration = Duration::from_millis(250);
-/// Part by which demand must change for an urgent report.
+/// Part by which demand must grow for an urgent report.
 const URGENT_PART: f64 = 0.25;
-/// Smallest change of demand for an urgent report, so that the noise of a few
+/// Smallest growth of demand for an urgent report, so that the noise of a few
 /// requests per second causes none.
 const URGENT_MIN_PER_SECOND: f64 = 2.0;
 /// Demand below which a team is idle.
@@ -183,12 +183,12 @@
         let Some(reported) = self.reported else {
             return (demand >= IDLE_PER_SECOND).then_some(now);
         };
-        let change = (demand - reported.demand_per_second).abs();
+        let growth = demand - reported.demand_per_second;
         let quarter = URGENT_PART * reported.demand_per_second;
         if self.is_starved() {
             return Some(now);
         }
-        let urgent = change > quarter.max(URGENT_MIN_PER_SECOND);
+        let urgent = growth > quarter.max(URGENT_MIN_PER_SECOND);
         urgent.then(|| reported.at + URGENT_INTERVAL)
     }
 
