Bound the repeats of each service at every node

Only the credit of each request bounded repeats; calls of repeated runs add up along the chain.

Ruled out: a count at the leader for each repeat (a round trip in the path of the request).

A refusal by a node is not an arrival and costs nothing.

--- a/crates/node/src/gate/outlet.rs
+++ b/crates/node/src/gate/outlet.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use masticarch_policy::allowance;
 use masticarch_policy::route::pool;
 use masticarch_policy::shed::throttle;
 
@@ -12,6 +13,8 @@
 pub struct Outlet {
     /// Targets that take new work according to the directory.
     pub pool: pool::Pool<remote::RemoteKey>,
+    /// Repeats that this node may send; unbounded when absent.
+    pub allowance: Option<allowance::Allowance>,
     /// By rank.
     throttles: Vec<throttle::Throttle>,
 }
--- a/crates/node/src/gate/remotes.rs
+++ b/crates/node/src/gate/remotes.rs
@@ -4,8 +4,8 @@
 
 use fastrand::Rng;
 use masticarch_model::{directory, incarnation, map, name, place, target};
-use masticarch_policy::eject;
 use masticarch_policy::route::{locality, pool};
+use masticarch_policy::{allowance, eject};
 use slotmap::{SecondaryMap, SlotMap, new_key_type};
 
 use crate::gate::{outlet, remote, report, verdict};
@@ -29,6 +29,7 @@
     own: name::Name,
     place: place::Place,
     ejects: bool,
+    repeats: Option<allowance::Terms>,
     arena: SlotMap<remote::RemoteKey, remote::Remote>,
     identities: map::Map<Identity, remote::RemoteKey>,
     outlets: SlotMap<PoolKey, outlet::Outlet>,
@@ -39,11 +40,17 @@
 impl Remotes {
     /// No services, seen from the node `own` at `place`. `ejects` is off in
     /// the baseline of experiments.
-    pub fn new(own: name::Name, place: place::Place, ejects: bool) -> Self {
+    pub fn new(
+        own: name::Name,
+        place: place::Place,
+        ejects: bool,
+        repeats: Option<allowance::Terms>,
+    ) -> Self {
         Self {
             own,
             place,
             ejects,
+            repeats,
             arena: SlotMap::with_key(),
             identities: map::Map::default(),
             outlets: SlotMap::with_key(),
@@ -56,9 +63,18 @@
     /// what is known of them.
     pub fn install(&mut self, directory: &directory::Directory) {
         self.services.clear();
+        let nodes = u32::try_from(directory.nodes.len()).unwrap_or(u32::MAX);
+        let allowance = self
+            .repeats
+            .map(|terms| allowance::Allowance::new(terms, nodes));
         for (key, service) in &directory.services {
             let pool = self.pool_named(&service.name);
-            self.outlets[pool].pool = pool::Pool::default();
+            let outlet = &mut self.outlets[pool];
+            outlet.pool = pool::Pool::default();
+            outlet.allowance = match (allowance, outlet.allowance) {
+                (Some(new), Some(earlier)) => Some(new.continued(&earlier)),
+                (new, _) => new,
+            };
             self.services.insert(key, pool);
         }
         let mut identities = map::Map::default();
@@ -119,6 +135,22 @@
             .is_none_or(|outlet| outlet.passes(rank, shed, chance, now))
     }
 
+    /// Counts a request to a service that is sent for the first time.
+    pub fn requested(&mut self, pool: PoolKey) {
+        let outlet = self.outlets.get_mut(pool);
+        if let Some(allowance) = outlet.and_then(|outlet| outlet.allowance.as_mut()) {
+            allowance.request();
+        }
+    }
+
+    /// Whether a request that has reached a target may be sent to another one.
+    pub fn may_repeat(&mut self, pool: PoolKey) -> bool {
+        let outlet = self.outlets.get_mut(pool);
+        outlet
+            .and_then(|outlet| outlet.allowance.as_mut())
+            .is_none_or(allowance::Allowance::repeat)
+    }
+
     /// An attempt is sent to a target.
     pub fn begun(&mut self, key: remote::RemoteKey) {
         if let Some(remote) = self.arena.get_mut(key) {
--- a/crates/node/src/gate/state.rs
+++ b/crates/node/src/gate/state.rs
@@ -50,7 +50,7 @@
         now: Instant,
     ) -> Self {
         let (own, place) = (options.name.clone(), options.place.clone());
-        let remotes = remotes::Remotes::new(own, place, options.decisions);
+        let remotes = remotes::Remotes::new(own, place, options.decisions, options.repeats);
         Self {
             options,
             metrics,
@@ -251,6 +251,7 @@
             choice: choice.clone(),
         });
         self.remotes.begun(remote);
+        self.remotes.requested(pending.pool);
         let admission = admission::Admission {
             request,
             root: pending.terms.root,
@@ -364,6 +365,9 @@
         } else {
             self.choose(pool, &tried, rank, now)?
         };
+        if verdict::has_arrived(report) && !self.remotes.may_repeat(pool) {
+            return None;
+        }
         let running = self.running.get_mut(key)?;
         let executions = verdict::executions(report);
         if self.options.decisions && !running.purse.retry(executions) {
--- a/crates/node/src/options.rs
+++ b/crates/node/src/options.rs
@@ -5,6 +5,7 @@
 
 use bon::Builder;
 use masticarch_model::{name, place};
+use masticarch_policy::allowance;
 use masticarch_wire::handshake;
 
 use crate::target;
@@ -55,6 +56,12 @@
     /// callers notice that it is no longer ready.
     #[builder(default)]
     pub linger: Duration,
+    /// How many requests to a service may be repeated; unbounded when absent,
+    /// apart from the retry credit of each request.
+    pub repeats: Option<allowance::Terms>,
+    /// Longest time for the services of the node to stop.
+    #[builder(default = Duration::from_secs(10))]
+    pub stop_limit: Duration,
     /// Whether the decisions on overload, rate, retries and claims are made.
     /// Experiments switch them off for their baseline.
     #[builder(default = true)]
--- a/crates/node/src/role.rs
+++ b/crates/node/src/role.rs
@@ -70,7 +70,11 @@
     extend(&mut kernel, &services)?;
     stop.wait().await;
     drain(&services).await;
-    kernel.shutdown(STOP_LIMIT).await;
+    let limit = services.options.stop_limit;
+    let stopping = kernel.shutdown(STOP_LIMIT.min(limit));
+    if monoio::time::timeout(limit, stopping).await.is_err() {
+        tracing::warn!("services were still stopping at the limit");
+    }
     Ok(())
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,6 +1,7 @@
 //! Decisions on the request path, without sockets, clocks or encodings: the
 //! present moment and random numbers are arguments.
 
+pub mod allowance;
 pub mod credit;
 pub mod currency;
 pub mod eject;
--- /dev/null
+++ b/crates/policy/tests/allowance.rs
@@ -0,0 +1,68 @@
+//! Bound on the repeated requests to one service.
+
+use masticarch_policy::allowance;
+use rstest::rstest;
+
+const TERMS: allowance::Terms = allowance::Terms {
+    ratio: 0.2,
+    slack: 47.0,
+};
+
+/// Repeats of `nodes` nodes that each send `requests` requests and want to
+/// repeat every one.
+fn repeats(nodes: u32, requests: u32) -> u32 {
+    let mut total = 0;
+    for _ in 0..nodes {
+        let mut allowance = allowance::Allowance::new(TERMS, nodes);
+        for _ in 0..requests {
+            allowance.request();
+            total += u32::from(allowance.repeat());
+        }
+    }
+    total
+}
+
+// Guards against repeats beyond the bound of a service, also where every call of
+// a chain is repeated and the repeats add up.
+#[rstest]
+#[case::few_nodes(4, 1000, 4)]
+#[case::today(24, 250, 4)]
+#[case::many_nodes(91, 30, 4)]
+#[case::nearly_idle(91, 2, 4)]
+fn repeats_of_a_chain_stay_within_the_bound(
+    #[case] nodes: u32,
+    #[case] requests: u32,
+    #[case] depth: u32,
+) {
+    let total = f64::from(depth * repeats(nodes, requests));
+
+    let bound = TERMS.ratio * f64::from(nodes * requests) + TERMS.slack;
+    assert!(total <= bound, "{total} of {bound}");
+}
+
+// Guards against an allowance that is saved up without bound.
+#[test]
+fn savings_are_bounded_by_the_part_of_the_slack() {
+    let mut allowance = allowance::Allowance::new(TERMS, 4);
+    for _ in 0..10_000 {
+        allowance.request();
+    }
+
+    let saved = (0..100).filter(|_| allowance.repeat()).count();
+
+    assert_eq!(saved, 5);
+}
+
+// Guards against an allowance that starts anew with each change of the fleet.
+#[test]
+fn savings_are_kept_when_nodes_come_and_go() {
+    let mut before = allowance::Allowance::new(TERMS, 4);
+    for _ in 0..100 {
+        before.request();
+    }
+
+    let mut after = allowance::Allowance::new(TERMS, 30).continued(&before);
+
+    assert!(after.repeat());
+    assert!(!after.repeat());
+}
