--- a/crates/control/src/allotment/message.rs
+++ b/crates/control/src/allotment/message.rs
@@ -1,6 +1,7 @@
 //! What the registry and the ports ask of the allotment.
 
 use masticarch_kernel::reply;
+use masticarch_model::{incarnation, map};
 use masticarch_policy::share::lease;
 
 use crate::agreement::event;
@@ -8,8 +9,15 @@
 /// Asked of the service [`crate::name::ALLOTMENT`].
 #[derive(Debug)]
 pub enum Message {
-    /// Whether this process leads; each term gets a new owner.
-    Role(event::Leadership),
+    /// Whether this process leads; each term gets a new owner. The runs of
+    /// nodes that may hold shares of earlier owners come with it.
+    Role(event::Leadership, map::Set<incarnation::Incarnation>),
+    /// A run of a node that may hold shares from now on, and runs that have
+    /// ended.
+    Holders(
+        Option<incarnation::Incarnation>,
+        Vec<incarnation::Incarnation>,
+    ),
     /// The limits of all teams.
     Limits(Vec<lease::Limit>),
     /// Decides on a node's reports; `None` when this process does not lead or
--- a/crates/control/src/allotment/service.rs
+++ b/crates/control/src/allotment/service.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use masticarch_kernel::{mailbox, stop};
+use masticarch_model::{incarnation, map};
 use masticarch_policy::share::{lease, owner};
 
 use super::message;
@@ -41,7 +42,10 @@
     /// Handles one message. Nobody waiting for a reply any more is no error.
     fn handle(&mut self, message: message::Message, now: Instant) {
         match message {
-            message::Message::Role(leadership) => self.change_role(leadership, now),
+            message::Message::Role(leadership, holders) => {
+                self.change_role(leadership, holders, now);
+            }
+            message::Message::Holders(joined, ended) => self.follow(joined, &ended),
             message::Message::Limits(limits) => self.set_limits(limits, now),
             message::Message::Renew(request, reply) => {
                 let owner = self.owner.as_mut();
@@ -54,11 +58,32 @@
         }
     }
 
-    fn change_role(&mut self, leadership: log::Leadership, now: Instant) {
+    fn follow(
+        &mut self,
+        joined: Option<incarnation::Incarnation>,
+        ended: &[incarnation::Incarnation],
+    ) {
+        let Some(owner) = &mut self.owner else {
+            return;
+        };
+        if let Some(holder) = joined {
+            owner.await_holder(holder);
+        }
+        for holder in ended {
+            owner.ended(*holder);
+        }
+    }
+
+    fn change_role(
+        &mut self,
+        leadership: log::Leadership,
+        holders: map::Set<incarnation::Incarnation>,
+        now: Instant,
+    ) {
         self.owner = match leadership {
             log::Leadership::None => None,
             log::Leadership::First => Some(owner::Owner::first(now)),
-            log::Leadership::Later => Some(owner::Owner::new(now)),
+            log::Leadership::Later => Some(owner::Owner::awaiting(now, holders)),
         };
         if let Some(owner) = &mut self.owner {
             owner.set_limits(now, &self.limits);
--- a/crates/control/src/member/lease.rs
+++ b/crates/control/src/member/lease.rs
@@ -4,7 +4,7 @@
 use masticarch_policy::share::lease as policy;
 use masticarch_wire::message::lease;
 
-use crate::{agreement, allotment, services};
+use crate::{agreement, allotment, registry, services};
 
 /// Grants shares after leadership is confirmed by a round that starts after the
 /// request arrived, so that a deposed leader grants nothing.
@@ -25,6 +25,12 @@
     if services.log.confirm(pace).await.is_err() {
         return Ok(lease::Reply::NotLeader(services.log.leader().await));
     }
+    let (name, incarnation) = (request.node.clone(), request.incarnation);
+    let present = |reply| registry::message::Message::Present(name, incarnation, reply);
+    if !services.registry.ask(present).await? {
+        // The next leader would not know of its shares.
+        return Ok(lease::Reply::Grants(Vec::new()));
+    }
     let request = policy::Request {
         node: request.incarnation,
         connection,
--- a/crates/control/src/registry/message.rs
+++ b/crates/control/src/registry/message.rs
@@ -47,6 +47,9 @@
     Check(change::Change, reply::Reply<outcome::Outcome>),
     /// The latest accepted changes, up to this number.
     History(u32, reply::Reply<Vec<catalog::Record>>),
+    /// Whether a run of a node is present. Resolves once everything sent to the
+    /// registry before is applied, and the other services are told.
+    Present(name::Name, incarnation::Incarnation, reply::Reply<bool>),
     /// The whole view.
     View(reply::Reply<view::View>),
     /// Reads the document that the present configuration was made from.
--- a/crates/control/src/registry/mod.rs
+++ b/crates/control/src/registry/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod answer;
 pub mod client;
+mod holders;
 pub mod message;
 mod outcomes;
 mod polls;
--- a/crates/control/src/registry/service.rs
+++ b/crates/control/src/registry/service.rs
@@ -7,7 +7,7 @@
 use masticarch_policy::share::lease;
 use masticarch_wire::message as wire;
 
-use super::{answer, message, outcomes, polls, presence, retention};
+use super::{answer, holders, message, outcomes, polls, presence, retention};
 use crate::agreement::event as log;
 use crate::{allotment, event, membership, metrics};
 
@@ -23,6 +23,7 @@
     outcomes: outcomes::Outcomes,
     polls: polls::Polls,
     retention: retention::Retention,
+    holders: holders::Holders,
     leads: bool,
     allotment: address::Address<allotment::message::Message>,
     membership: address::Address<membership::message::Message>,
@@ -44,6 +45,7 @@
             outcomes,
             polls: polls::Polls::default(),
             retention: retention::Retention::default(),
+            holders: holders::Holders::default(),
             leads: false,
             allotment,
             membership,
@@ -111,6 +113,11 @@
                 let count = usize::try_from(count).unwrap_or(usize::MAX);
                 let _ = reply.send(self.catalog.history().take(count).cloned().collect());
             }
+            message::Message::Present(name, incarnation, reply) => {
+                let entry = self.catalog.node(&name);
+                let present = entry.is_some_and(|entry| entry.node.incarnation == incarnation);
+                let _ = reply.send(present);
+            }
             message::Message::View(reply) => {
                 let _ = reply.send(self.catalog.view().clone());
             }
@@ -135,7 +142,7 @@
         }
         let configured = self.catalog.view().configuration_version;
         let published = self.catalog.published();
-        self.apply(index, command);
+        self.apply_with_holders(index, command).await;
         self.metrics.applied(index);
         if self.catalog.published() != published {
             self.polls.wake(&self.catalog);
@@ -155,6 +162,26 @@
         self.outcomes.push(Some(outcome));
     }
 
+    /// Applies a command and tells the owner of the shares which runs of nodes
+    /// have come or ended.
+    async fn apply_with_holders(&mut self, index: u64, command: Option<command::Command>) {
+        let before = match &command {
+            Some(command::Command::Join(node)) => self.catalog.node(&node.name),
+            _ => None,
+        };
+        let before = before.map(|entry| entry.node.incarnation);
+        let followed = command.clone().filter(is_of_nodes);
+        self.apply(index, command);
+        let Some(command) = followed else { return };
+        let step = self
+            .holders
+            .follow(&command, before, &self.catalog, Instant::now());
+        if step != holders::Step::default() {
+            let message = allotment::message::Message::Holders(step.joined, step.ended);
+            let _ = self.allotment.send(message).await;
+        }
+    }
+
     async fn install(&mut self, snapshot: log::Snapshot) {
         let index = snapshot.index;
         if snapshot.bytes.is_empty() {
@@ -178,6 +205,7 @@
     async fn change_role(&mut self, leadership: log::Leadership) {
         let leads = leadership.leads();
         self.leads = leads;
+        let holders = self.holders.present(&self.catalog, Instant::now());
         self.retention.clear();
         self.metrics.leads(leads);
         let _ = self
@@ -186,7 +214,7 @@
             .await;
         let _ = self
             .allotment
-            .send(allotment::message::Message::Role(leadership))
+            .send(allotment::message::Message::Role(leadership, holders))
             .await;
         self.send_limits().await;
     }
@@ -234,6 +262,14 @@
     }
 }
 
+/// Whether a command may change the runs of nodes.
+const fn is_of_nodes(command: &command::Command) -> bool {
+    matches!(
+        command,
+        command::Command::Join(_) | command::Command::Leave(_) | command::Command::Depart(..)
+    )
+}
+
 /// The command of an entry, if it holds one. Every member skips an entry that
 /// cannot be decoded, so that the catalogs stay equal.
 fn decode(index: u64, bytes: &[u8]) -> Option<command::Command> {
--- a/crates/control/tests/ports.rs
+++ b/crates/control/tests/ports.rs
@@ -308,12 +308,16 @@
         operator
             .call(&change(1, 0, vec![edit::Edit::Replace(set())]))
             .await;
+        let member = control.member().await;
+        member.sync(&poll(&node("alertas-1", 7), 0)).await;
+        member.sync(&poll(&node("guiones-1", 8), 0)).await;
         let control = control.restart().await;
         let member = control.member().await;
         let request = demand_of_arica();
 
         let early = member.lease(&request).await;
         monoio::time::sleep(Duration::from_millis(5_500)).await;
+        member.sync(&poll(&node("alertas-1", 7), 0)).await;
         let late = member.lease(&request).await;
 
         assert!(granted_rate(&early).abs() < f64::EPSILON);
@@ -334,6 +338,49 @@
             .call(&change(1, 0, vec![edit::Edit::Replace(set())]))
             .await;
 
+        member.sync(&poll(&node("alertas-1", 7), 0)).await;
+        let reply = member.lease(&demand_of_arica()).await;
+
+        assert!(granted_rate(&reply) >= 40.0);
+        control.stop().await;
+    });
+}
+
+// Guards against a share of a node that the next leader would not wait for,
+// because it does not know the node.
+#[test]
+fn run_outside_the_fleet_gets_no_share() {
+    run(async {
+        let control = Control::start().await;
+        let member = control.member().await;
+        let operator = control.operator().await;
+        operator
+            .call(&change(1, 0, vec![edit::Edit::Replace(set())]))
+            .await;
+
+        member.sync(&poll(&node("alertas-1", 6), 0)).await;
+        let reply = member.lease(&demand_of_arica()).await;
+
+        assert_eq!(reply, lease::Reply::Grants(Vec::new()));
+        control.stop().await;
+    });
+}
+
+// Guards against teams that are refused for a whole lease after a restart,
+// although every node has told what it holds.
+#[test]
+fn restarted_leader_grants_once_all_nodes_were_heard() {
+    run(async {
+        let control = Control::start().await;
+        let operator = control.operator().await;
+        operator
+            .call(&change(1, 0, vec![edit::Edit::Replace(set())]))
+            .await;
+        let member = control.member().await;
+        member.sync(&poll(&node("alertas-1", 7), 0)).await;
+        let control = control.restart().await;
+        let member = control.member().await;
+
         let reply = member.lease(&demand_of_arica()).await;
 
         assert!(granted_rate(&reply) >= 40.0);
--- a/crates/daemon/src/command/local.rs
+++ b/crates/daemon/src/command/local.rs
@@ -85,7 +85,7 @@
 /// # Errors
 /// See [`error::Error`].
 pub fn run(arguments: &arguments::Local) -> Result<(), error::Error> {
-    log::init(log::Log::default());
+    let _guard = log::init(log::Log::default());
     let ports = Ports::new(arguments.port);
     let secrets = Secrets::draw()?;
     let data = data_directory(arguments)?;
--- a/crates/daemon/src/command/node.rs
+++ b/crates/daemon/src/command/node.rs
@@ -16,6 +16,6 @@
         println!("{}: no faults", arguments.settings.display());
         return Ok(());
     }
-    log::init(settings.log);
+    let _guard = log::init(settings.log);
     serve::until_signal(|stop| role::run(settings.options, stop))
 }
--- a/crates/daemon/src/log.rs
+++ b/crates/daemon/src/log.rs
@@ -3,6 +3,7 @@
 use std::io::IsTerminal;
 
 use serde::Deserialize;
+use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
 /// Form of log lines.
@@ -52,15 +53,26 @@
     pub level: Level,
 }
 
-/// Writes logs to standard error from now on. A second call has no effect.
-pub fn init(log: Log) {
+/// Lines that wait for a slow reader; more are dropped.
+const BUFFERED_LINES: usize = 1_000;
+
+/// Writes logs to standard output from now on, until the result is dropped. A
+/// reader that does not read stops no request: lines beyond a buffer are
+/// dropped. A second call has no effect.
+#[must_use]
+pub fn init(log: Log) -> WorkerGuard {
     let filter = EnvFilter::new(log.level.as_str());
+    let (writer, guard) = NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(BUFFERED_LINES)
+        .finish(std::io::stdout());
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
-        .with_ansi(std::io::stderr().is_terminal())
-        .with_writer(std::io::stderr);
+        .with_ansi(std::io::stdout().is_terminal())
+        .with_writer(writer);
     let _ = match log.format {
         Format::Text => builder.try_init(),
         Format::Json => builder.json().try_init(),
     };
+    guard
 }
--- a/crates/model/src/catalog.rs
+++ b/crates/model/src/catalog.rs
@@ -146,6 +146,7 @@
             command::Command::Change(change) => self.change(change),
             command::Command::Join(node) => self.join(node),
             command::Command::Leave(nodes) => self.leave(nodes),
+            command::Command::Depart(name, incarnation) => self.leave(vec![(name, incarnation)]),
             command::Command::Announce(name, incarnation, targets) => {
                 self.announce(name, incarnation, targets)
             }
--- a/crates/model/src/command.rs
+++ b/crates/model/src/command.rs
@@ -15,6 +15,9 @@
     Join(node::Node),
     /// Removes nodes, if they still have these incarnations.
     Leave(Vec<(name::Name, incarnation::Incarnation)>),
+    /// Removes a node that has stopped in an orderly way, if it still has this
+    /// incarnation.
+    Depart(name::Name, incarnation::Incarnation),
     /// Sets all targets of a node, if it still has this incarnation.
     Announce(name::Name, incarnation::Incarnation, Vec<target::Target>),
     /// Claims a non-idempotent request.
--- a/crates/node/src/caller/handler.rs
+++ b/crates/node/src/caller/handler.rs
@@ -107,6 +107,22 @@
         self.attempts(flight, &admission, hold, &request).await
     }
 
+    /// Writes the line from which a failed request is explained.
+    fn log(&self, refused: &Refused) {
+        let refusal = &refused.refusal;
+        if self.services.metrics.may_log() {
+            tracing::info!(
+                request = %refused.id,
+                code = refusal.code.number(),
+                reason = refusal.code.reason(),
+                ran = refusal.ran.as_str(),
+                detail = %refusal.detail,
+                in_flight = self.services.activity.count(),
+                "request refused"
+            );
+        }
+    }
+
     /// Enters a request with a caller's id in the ledger of its home node.
     async fn enter(
         &mut self,
@@ -193,6 +209,7 @@
             }
             Err(refused) => {
                 self.services.metrics.refused(refused.refusal.code);
+                self.log(&refused);
                 F::refuse(&refused.refusal, &refused.id)
             }
         }
--- a/crates/node/src/contacts.rs
+++ b/crates/node/src/contacts.rs
@@ -8,7 +8,7 @@
 /// told come first, then those of the settings, which may be out of date.
 #[derive(Clone, Debug)]
 pub struct Contacts {
-    settings: Rc<[SocketAddr]>,
+    settings: Rc<RefCell<Vec<SocketAddr>>>,
     known: Rc<RefCell<Vec<SocketAddr>>>,
 }
 
@@ -17,18 +17,29 @@
     #[must_use]
     pub fn new(settings: &[SocketAddr]) -> Self {
         Self {
-            settings: settings.into(),
+            settings: Rc::new(RefCell::new(settings.to_vec())),
             known: Rc::new(RefCell::new(settings.to_vec())),
         }
     }
 
     /// Takes over what the group tells of its members.
     pub fn learn(&self, members: &[SocketAddr]) {
-        let others = self.settings.iter().filter(|one| !members.contains(one));
+        let settings = self.settings.borrow();
+        let others = settings.iter().filter(|one| !members.contains(one));
         let known = members.iter().chain(others).copied().collect();
         *self.known.borrow_mut() = known;
     }
 
+    /// Takes over changed settings, which come first until the group tells of
+    /// its members again.
+    pub fn reload(&self, settings: &[SocketAddr]) {
+        *self.settings.borrow_mut() = settings.to_vec();
+        let members = self.known.borrow().clone();
+        let others = members.iter().filter(|one| !settings.contains(one));
+        let known = settings.iter().chain(others).copied().collect();
+        *self.known.borrow_mut() = known;
+    }
+
     /// The address to try at a position; positions go round.
     #[must_use]
     pub fn get(&self, position: usize) -> Option<SocketAddr> {
--- a/crates/node/src/gate/mod.rs
+++ b/crates/node/src/gate/mod.rs
@@ -8,6 +8,7 @@
 pub mod key;
 pub mod message;
 mod outlet;
+mod parked;
 mod pending;
 mod remote;
 mod remotes;
--- a/crates/node/src/gate/state.rs
+++ b/crates/node/src/gate/state.rs
@@ -12,8 +12,8 @@
 use slotmap::SlotMap;
 
 use crate::gate::{
-    admission, authority, choice, denial, key, message, pending, remote, remotes, report, reports,
-    request, running, splits, teams, terms, verdict,
+    admission, authority, choice, denial, key, message, parked, pending, remote, remotes, report,
+    reports, request, running, splits, teams, terms, verdict,
 };
 use crate::{metrics, options, origin};
 
@@ -31,6 +31,7 @@
     metrics: metrics::Metrics,
     rng: Rng,
     directory: Rc<directory::Directory>,
+    parked: parked::Parked,
     currency: currency::Currency,
     teams: teams::Teams,
     splits: splits::Splits,
@@ -56,6 +57,7 @@
             metrics,
             rng,
             directory: Rc::default(),
+            parked: parked::Parked::default(),
             currency: currency::Currency::default(),
             teams: teams::Teams::default(),
             splits: splits::Splits::default(),
@@ -93,6 +95,9 @@
         if let Some(asked) = self.reports.take_due(now) {
             let _ = asked.send(self.teams.reports(now));
         }
+        while let Some(reply) = self.parked.take_expired(now) {
+            denial::send(reply, code::Code::NotCurrent);
+        }
         if now >= self.next_sweep {
             self.next_sweep = now + SWEEP_INTERVAL;
             self.sweep(now);
@@ -101,7 +106,7 @@
 
     /// When [`Self::tick`] is due.
     pub fn wake(&self) -> Instant {
-        let wakes = [self.teams.wake(), self.reports.wake()];
+        let wakes = [self.teams.wake(), self.reports.wake(), self.parked.wake()];
         wakes
             .into_iter()
             .flatten()
@@ -111,10 +116,22 @@
     fn begin(&mut self, request: request::Request, reply: pending::Reply, now: Instant) {
         match self.authorise(&request, now) {
             Ok((route, team)) => self.admit(route, team, request, reply, now),
+            Err(code::Code::NotCurrent) if self.currency.is_unknown() => {
+                self.park(request, reply, now);
+            }
             Err(code) => denial::send(reply, code),
         }
     }
 
+    /// Keeps a request that came before the first configuration.
+    fn park(&mut self, request: request::Request, reply: pending::Reply, now: Instant) {
+        let wait = self.options.start_wait;
+        let wait = request.remaining.map_or(wait, |left| wait.min(left / 2));
+        if let Err(reply) = self.parked.park(request, reply, now + wait) {
+            denial::send(reply, code::Code::NotCurrent);
+        }
+    }
+
     fn authorise(
         &self,
         request: &request::Request,
@@ -446,6 +463,9 @@
             denial::send(pending.reply, code::Code::WrongTeam);
         }
         self.directory = directory;
+        for (request, reply) in self.parked.take_all() {
+            self.begin(request, reply, now);
+        }
     }
 
     fn sweep(&mut self, now: Instant) {
--- a/crates/node/src/lease/service.rs
+++ b/crates/node/src/lease/service.rs
@@ -55,9 +55,6 @@
     async fn renew(&mut self) {
         while let Ok(reports) = self.gate.ask(gate::message::Message::Reports).await {
             let asked = Instant::now();
-            if reports.is_empty() {
-                continue;
-            }
             if self.is_due(&reports) {
                 self.request(reports).await;
             }
@@ -66,9 +63,8 @@
     }
 
     fn is_due(&self, reports: &[lease::Report]) -> bool {
-        if reports.is_empty() {
-            return false;
-        }
+        // A node without shares reports as well, so that a new owner knows that
+        // there is nothing to wait for.
         let steady = self.sent.is_some_and(|sent| sent.elapsed() < STEADY);
         !steady || reports.iter().any(|report| self.has_changed(report))
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod leader;
 pub mod lease;
 pub mod ledger;
+pub mod lines;
 pub mod links;
 pub mod listener;
 pub mod metrics;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,13 +1,15 @@
 //! Prometheus metrics of a node.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use masticarch_model::{code, version};
 use prometheus::{
-    Encoder, Gauge, Histogram, HistogramOpts, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
-    TextEncoder,
+    Encoder, Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder,
 };
 
+use crate::lines;
+
 /// Upper bounds of the queue time histogram in seconds; the queue is bounded by
 /// 100 ms unless settings say otherwise.
 const QUEUE_BUCKETS: [f64; 8] = [0.0001, 0.0005, 0.001, 0.005, 0.01, 0.05, 0.1, 0.5];
@@ -25,6 +27,7 @@
     version: IntGauge,
     currency: Gauge,
     in_flight: IntGauge,
+    lines: lines::Lines,
 }
 
 /// Counts one open connection until it is dropped.
@@ -87,6 +90,12 @@
             "Time since the held state was known to be current",
         )?;
         let in_flight = IntGauge::new("masticarch_in_flight", "Requests in flight")?;
+        let suppressed = IntCounter::new(
+            "masticarch_log_lines_suppressed_total",
+            "Decisions without a line in the log, because too many were written",
+        )?;
+        registry.register(Box::new(suppressed.clone()))?;
+        let lines = lines::Lines::new(suppressed, Instant::now());
         registry.register(Box::new(refusals.clone()))?;
         registry.register(Box::new(retries.clone()))?;
         registry.register(Box::new(answers.clone()))?;
@@ -105,6 +114,7 @@
             version,
             currency,
             in_flight,
+            lines,
         })
     }
 
@@ -114,6 +124,12 @@
         &self.registry
     }
 
+    /// Whether a decision may write a line to the log now.
+    #[must_use]
+    pub fn may_log(&self) -> bool {
+        self.lines.take(Instant::now())
+    }
+
     /// Counts a refusal to a caller.
     pub fn refused(&self, code: code::Code) {
         self.refusals.with_label_values(&[code.reason()]).inc();
--- a/crates/node/src/options.rs
+++ b/crates/node/src/options.rs
@@ -46,6 +46,9 @@
     /// Longest wait for tokens of a team's rate.
     #[builder(default = Duration::from_millis(200))]
     pub rate_wait: Duration,
+    /// Longest wait for the first configuration after a start.
+    #[builder(default = Duration::from_millis(1200))]
+    pub start_wait: Duration,
     /// Longest wait for running requests at shutdown.
     #[builder(default = Duration::from_mins(10))]
     pub drain_limit: Duration,
--- a/crates/node/tests/gate.rs
+++ b/crates/node/tests/gate.rs
@@ -347,3 +347,34 @@
 
     assert_eq!(attempts, 3);
 }
+
+// Guards against refusals in the moment between the start of a node and its
+// first configuration.
+#[test]
+fn request_waits_for_the_first_configuration() {
+    let view = fixture::view(1, 2);
+    let outcome = fixture::with_new_gate(true, |gate| async move {
+        let caller = gate.clone();
+        let early =
+            monoio::spawn(async move { caller.begin(fixture::request("/open", None)).await });
+        monoio::time::sleep(Duration::from_millis(50)).await;
+        gate.install(&view, Instant::now()).await;
+        early.await
+    });
+
+    assert!(outcome.is_ok());
+}
+
+// Guards against a request that is held although no configuration comes.
+#[test]
+fn request_does_not_wait_for_ever_for_the_first_configuration() {
+    let (outcome, waited) = fixture::with_new_gate(true, |gate| async move {
+        let begun = Instant::now();
+        let mut request = fixture::request("/open", None);
+        request.remaining = Some(Duration::from_millis(200));
+        (gate.begin(request).await, begun.elapsed())
+    });
+
+    assert_eq!(code_of(outcome), Some(code::Code::NotCurrent));
+    assert!(waited < Duration::from_millis(200), "{waited:?}");
+}
--- /dev/null
+++ b/crates/node/tests/lines.rs
@@ -0,0 +1,22 @@
+//! Bound on the lines that decisions write to the log.
+
+use std::time::{Duration, Instant};
+
+use masticarch_node::lines;
+use prometheus::IntCounter;
+
+// Guards against a log that grows with the load, and against lines that are
+// dropped without a count.
+#[test]
+fn lines_are_bounded_and_the_rest_is_counted() {
+    let now = Instant::now();
+    let suppressed = IntCounter::new("suppressed", "lines").unwrap();
+    let lines = lines::Lines::new(suppressed.clone(), now);
+
+    let first = (0..1_000).filter(|_| lines.take(now)).count();
+    let later = lines.take(now + Duration::from_secs(1));
+
+    assert_eq!(first, 20);
+    assert_eq!(suppressed.get(), 980);
+    assert!(later);
+}
--- a/crates/policy/src/currency.rs
+++ b/crates/policy/src/currency.rs
@@ -21,6 +21,12 @@
         self.confirmed = self.confirmed.max(Some(at));
     }
 
+    /// Whether no configuration was ever confirmed.
+    #[must_use]
+    pub const fn is_unknown(&self) -> bool {
+        self.confirmed.is_none()
+    }
+
     /// Whether keyed requests may be served.
     #[must_use]
     pub fn is_current(&self, now: Instant) -> bool {
--- a/crates/policy/src/share/account.rs
+++ b/crates/policy/src/share/account.rs
@@ -129,13 +129,7 @@
         report: &lease::Report,
         opened: Instant,
     ) -> Decision {
-        self.fill(now, opened);
-        let held = lease::Share {
-            rate: amount(report.held.rate),
-            burst: amount(report.held.burst),
-        };
-        let demand = amount(report.demand);
-        self.count(now, node, held, demand);
+        let (held, demand) = self.hear(now, node, report, opened);
         self.pool += amount(report.released);
         self.trim_pool();
         self.update_level(now);
@@ -152,6 +146,24 @@
         }
     }
 
+    /// Counts what a holder reports to hold, and returns it with its demand.
+    pub fn hear(
+        &mut self,
+        now: Instant,
+        node: incarnation::Incarnation,
+        report: &lease::Report,
+        opened: Instant,
+    ) -> (lease::Share, f64) {
+        self.fill(now, opened);
+        let held = lease::Share {
+            rate: amount(report.held.rate),
+            burst: amount(report.held.burst),
+        };
+        let demand = amount(report.demand);
+        self.count(now, node, held, demand);
+        (held, demand)
+    }
+
     /// The share for a holder that is counted with `held`.
     fn share(
         &self,
--- a/crates/policy/src/share/owner.rs
+++ b/crates/policy/src/share/owner.rs
@@ -34,6 +34,10 @@
 pub struct Owner {
     /// When every share of earlier owners has been reported or has ended.
     opened: Instant,
+    /// Holders that may have shares of earlier owners and have not reported to
+    /// this one; once there are none, nothing is left to wait for. `None` when
+    /// they are not known.
+    awaited: Option<map::Set<incarnation::Incarnation>>,
     accounts: SlotMap<AccountKey, account::Account>,
     teams: map::Map<name::Name, AccountKey>,
     connections: map::Map<incarnation::Incarnation, Connection>,
@@ -46,6 +50,7 @@
     pub fn new(now: Instant) -> Self {
         Self {
             opened: now + lease::COUNTED,
+            awaited: None,
             accounts: SlotMap::with_key(),
             teams: map::Map::default(),
             connections: map::Map::default(),
@@ -61,6 +66,37 @@
         }
     }
 
+    /// Makes the owner of a new term that knows which holders may have shares of
+    /// earlier owners.
+    #[must_use]
+    pub fn awaiting(now: Instant, holders: map::Set<incarnation::Incarnation>) -> Self {
+        Self {
+            awaited: Some(holders),
+            ..Self::new(now)
+        }
+    }
+
+    /// A holder may have shares of earlier owners as well.
+    pub fn await_holder(&mut self, holder: incarnation::Incarnation) {
+        if let Some(awaited) = &mut self.awaited {
+            awaited.insert(holder);
+        }
+    }
+
+    /// A holder has ended, and its shares with it.
+    pub fn ended(&mut self, holder: incarnation::Incarnation) {
+        if let Some(awaited) = &mut self.awaited {
+            awaited.remove(&holder);
+        }
+    }
+
+    fn open_early(&mut self, now: Instant) {
+        if self.awaited.as_ref().is_some_and(map::Set::is_empty) {
+            self.opened = self.opened.min(now);
+            self.awaited = None;
+        }
+    }
+
     /// Sets the limits of all teams. A team that is not listed gets no more
     /// shares; the ones that it has count until their leases end.
     pub fn set_limits(&mut self, now: Instant, limits: &[lease::Limit]) {
@@ -79,12 +115,19 @@
         }
     }
 
-    /// Decides on a holder's reports, with one grant for each; `None` when the
+    /// Decides on a holder's reports, with one grant for each. Every holder that
+    /// was known when the request was sent must have been named to
+    /// [`Self::awaiting`] or [`Self::await_holder`] before. `None` when the
     /// request came on a connection that the holder has given up.
     pub fn renew(&mut self, now: Instant, request: &lease::Request) -> Option<Vec<lease::Grant>> {
         if !self.is_latest(now, request) {
             return None;
         }
+        for report in &request.reports {
+            self.hear(now, request.node, report);
+        }
+        self.ended(request.node);
+        self.open_early(now);
         let grants = request
             .reports
             .iter()
@@ -124,6 +167,14 @@
         self.teams.iter().map(usage).collect()
     }
 
+    /// Counts what a holder has, before anything is granted.
+    fn hear(&mut self, now: Instant, node: incarnation::Incarnation, report: &lease::Report) {
+        let account = self.teams.get(&report.team);
+        if let Some(account) = account.and_then(|key| self.accounts.get_mut(*key)) {
+            account.hear(now, node, report, self.opened);
+        }
+    }
+
     fn grant(
         &mut self,
         now: Instant,
--- a/crates/policy/tests/share_fleet/mod.rs
+++ b/crates/policy/tests/share_fleet/mod.rs
@@ -238,7 +238,8 @@
     /// Starts a new owner; the earlier one grants nothing more, because it
     /// cannot confirm its leadership.
     pub fn replace_owner(&mut self) {
-        self.owner = owner::Owner::new(self.now);
+        let holders = self.holders.iter().map(|holder| holder.incarnation);
+        self.owner = owner::Owner::awaiting(self.now, holders.collect());
         self.sent.clear();
         // The new owner does not know which of the shares that it hears of were
         // granted before the limit was lowered, until all leases are over.
--- a/crates/policy/tests/share_owner.rs
+++ b/crates/policy/tests/share_owner.rs
@@ -2,9 +2,10 @@
 
 mod share_fleet;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use masticarch_policy::share::lease;
+use masticarch_model::incarnation;
+use masticarch_policy::share::{lease, owner};
 use proptest::prelude::*;
 
 use share_fleet::{Faults, Fleet, STEP};
@@ -183,3 +184,61 @@
 
     assert!(outcome.is_ok(), "{outcome:?}");
 }
+
+// Guards against a team that is refused for a whole lease after all processes
+// were restarted, although nobody can hold an earlier share any more.
+#[test]
+fn owner_that_has_heard_all_holders_grants_at_once() {
+    let now = Instant::now();
+    let (first, second) = (incarnation::Incarnation(1), incarnation::Incarnation(2));
+    let gone = incarnation::Incarnation(3);
+    let mut owner = owner::Owner::awaiting(now, [first, second, gone].into_iter().collect());
+    owner.set_limits(now, &[whole(limit(100.0, 100.0))]);
+
+    let early = owner.renew(now, &empty_handed(first)).unwrap();
+    owner.ended(gone);
+    let all_heard = owner.renew(now, &empty_handed(second)).unwrap();
+
+    assert_eq!(early[0].share, lease::Share::default());
+    assert!(all_heard[0].share.rate > 0.0);
+}
+
+// Guards against a share that is granted twice because the holder of an earlier
+// one has not been heard.
+#[test]
+fn owner_waits_for_a_holder_that_joined_before_its_term() {
+    let now = Instant::now();
+    let (first, late) = (incarnation::Incarnation(1), incarnation::Incarnation(2));
+    let mut owner = owner::Owner::awaiting(now, [first].into_iter().collect());
+    owner.set_limits(now, &[whole(limit(100.0, 100.0))]);
+    owner.await_holder(late);
+
+    let before = owner.renew(now, &empty_handed(first)).unwrap();
+    let over = now + lease::COUNTED;
+    let after = owner.renew(over, &empty_handed(first)).unwrap();
+
+    assert_eq!(before[0].share, lease::Share::default());
+    assert!(after[0].share.rate > 0.0);
+}
+
+fn whole(limit: lease::Share) -> lease::Limit {
+    lease::Limit {
+        team: share_fleet::team(),
+        whole: limit,
+    }
+}
+
+/// A report of a holder that wants something and has nothing.
+fn empty_handed(node: incarnation::Incarnation) -> lease::Request {
+    lease::Request {
+        node,
+        connection: 1,
+        reports: vec![lease::Report {
+            team: share_fleet::team(),
+            held: lease::Share::default(),
+            released: 0.0,
+            demand: 10.0,
+            wanted: 0.0,
+        }],
+    }
+}
