Count the time for which a VM was suspended

The steady clock does not count a suspension, so a node that wakes up would serve a withdrawn key, and a share whose lease is over, for as long as it slept. Both bind machines out of touch.

Change: the gate compares the time since boot with the steady clock, ages what it knows and its leases by the difference, and takes no answer to an earlier question for a new one.

--- a/crates/node/src/gate/service.rs
+++ b/crates/node/src/gate/service.rs
@@ -8,7 +8,7 @@
 use masticarch_kernel::{mailbox, stop};
 
 use crate::gate::{message, state};
-use crate::{event, metrics, options};
+use crate::{event, metrics, options, suspension};
 
 /// Runs the service until it is asked to stop.
 pub async fn run(
@@ -18,8 +18,13 @@
     stop: stop::Stop,
 ) {
     let mut state = state::State::new(options, metrics, Rng::new(), Instant::now());
+    let mut suspension = suspension::Suspension::new();
     loop {
-        match event::next(&mut mailbox, Some(state.wake()), &stop).await {
+        let event = event::next(&mut mailbox, Some(state.wake()), &stop).await;
+        if let Some(time) = suspension.take() {
+            state.suspend(time, Instant::now());
+        }
+        match event {
             event::Event::Message(message) => state.handle(message, Instant::now()),
             event::Event::Timer => state.tick(Instant::now()),
             event::Event::Stop => return,
--- a/crates/node/src/gate/state.rs
+++ b/crates/node/src/gate/state.rs
@@ -84,11 +84,23 @@
             message::Message::Install(directory, at) => self.install(directory, at, now),
             message::Message::Current(at) => self.currency.confirm(at),
             message::Message::Reports(reply) => self.reports.ask(reply),
-            message::Message::Granted(grants, sent) => self.teams.granted(&grants, sent, now),
+            message::Message::Granted(grants, sent) => {
+                if let Some(sent) = self.currency.before_suspension(sent) {
+                    self.teams.granted(&grants, sent, now);
+                }
+            }
             message::Message::Drain => self.draining = true,
         }
     }
 
+    /// The VM was suspended for this long, which the clock did not count: what
+    /// is known is as much older, and leases end as much sooner.
+    pub fn suspend(&mut self, time: Duration, now: Instant) {
+        tracing::warn!(?time, "the VM was suspended");
+        self.currency.suspend(time, now);
+        self.teams.suspend(time, now);
+    }
+
     /// Does what has become due.
     pub fn tick(&mut self, now: Instant) {
         self.release(now);
--- a/crates/node/src/gate/teams.rs
+++ b/crates/node/src/gate/teams.rs
@@ -1,7 +1,7 @@
 //! The rates of all teams at this node.
 
 use std::collections::BTreeSet;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use masticarch_model::{directory, map, name};
 use masticarch_policy::share::{Share, decision, holder};
@@ -125,6 +125,13 @@
         }
     }
 
+    /// The VM was suspended for this long, which the clock did not count.
+    pub fn suspend(&mut self, time: Duration, now: Instant) {
+        for team in self.arena.values_mut() {
+            team.holder.suspend(time, now);
+        }
+    }
+
     fn slot(&mut self, name: &name::Name, now: Instant) -> team::SlotKey {
         if let Some(slot) = self.names.get(name) {
             return *slot;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -26,5 +26,6 @@
 pub mod role;
 pub mod services;
 pub mod session;
+pub mod suspension;
 pub mod sync;
 pub mod target;
--- a/crates/policy/src/currency.rs
+++ b/crates/policy/src/currency.rs
@@ -11,6 +11,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Currency {
     confirmed: Option<Instant>,
+    suspended: Option<(Instant, Duration)>,
 }
 
 impl Currency {
@@ -18,7 +19,24 @@
     /// sent the confirmed request. An earlier moment than one already known
     /// has no effect.
     pub fn confirm(&mut self, at: Instant) {
-        self.confirmed = self.confirmed.max(Some(at));
+        self.confirmed = self.confirmed.max(self.before_suspension(at));
+    }
+
+    /// The VM was suspended for `time` until `now`, which the clock did not
+    /// count.
+    pub fn suspend(&mut self, time: Duration, now: Instant) {
+        self.confirmed = self.confirmed.and_then(|at| at.checked_sub(time));
+        self.suspended = Some((now, time));
+    }
+
+    /// A moment of the clock as it would read had the clock counted the last
+    /// suspension; `None` when that lies before the start of the clock.
+    #[must_use]
+    pub fn before_suspension(&self, at: Instant) -> Option<Instant> {
+        match self.suspended {
+            Some((end, time)) if at < end => at.checked_sub(time),
+            _ => Some(at),
+        }
     }
 
     /// Whether no configuration was ever confirmed.
--- a/crates/policy/src/share/holder.rs
+++ b/crates/policy/src/share/holder.rs
@@ -158,6 +158,14 @@
         enough
     }
 
+    /// The VM was suspended for this long, which the clock did not count: the
+    /// lease ends as much sooner.
+    pub fn suspend(&mut self, time: Duration, now: Instant) {
+        let expires = self.expires.map(|at| at.checked_sub(time).unwrap_or(now));
+        self.expires = expires;
+        self.advance(now);
+    }
+
     /// Makes the report of the next lease request. Released tokens are in one
     /// report only: if it is lost, so are they.
     pub fn report(&mut self, now: Instant) -> report::Report {
--- a/crates/policy/tests/holder.rs
+++ b/crates/policy/tests/holder.rs
@@ -273,3 +273,22 @@
 
     assert!((190.0..=210.0).contains(&demand), "{demand}");
 }
+
+// Guards against a share that is used after its lease, because the clock stood
+// still while the VM was suspended.
+#[test]
+fn lease_goes_on_while_the_vm_is_suspended() {
+    let now = Instant::now();
+    let mut holder = granted(100.0, 10.0, 10.0, now);
+
+    holder.suspend(Duration::from_secs(4), now);
+    let still_leased = holder.is_leased(now);
+    holder.suspend(Duration::from_secs(1), now);
+
+    assert!(still_leased);
+    assert!(!holder.is_leased(now));
+    assert!(matches!(
+        holder.request(1, now, now),
+        decision::Decision::Refuse(_)
+    ));
+}
