--- a/crates/control/src/agreement/service.rs
+++ b/crates/control/src/agreement/service.rs
@@ -66,6 +66,8 @@
     /// Term of which the owner of the state was told that this member leads.
     leading: Option<term::Term>,
     failed: bool,
+    /// Dropped when the storage has failed.
+    storage: Option<oneshot::Sender<()>>,
     /// Most members that vote.
     seats: usize,
 }
@@ -82,6 +84,7 @@
         mut journal: journal::Journal,
         owner: address::Address<E>,
         outbound: address::Address<O>,
+        storage: oneshot::Sender<()>,
     ) -> Self {
         let recovered = std::mem::take(&mut journal.recovered);
         let covered = recovered.snapshot.meta.position.index;
@@ -104,6 +107,7 @@
             snapshot: None,
             leading: None,
             failed: false,
+            storage: Some(storage),
             seats: options.seats,
         }
     }
@@ -284,6 +288,7 @@
     /// Stops taking part: whatever this member promised now could be lost.
     async fn fail(&mut self) {
         self.failed = true;
+        self.storage = None;
         self.waiting.fail();
         if self.leading.take().is_some() {
             let _ = self.tell(event::Event::Role(event::Leadership::None)).await;
--- a/crates/control/src/error.rs
+++ b/crates/control/src/error.rs
@@ -19,6 +19,10 @@
             source(source)
             display("{source}")
         }
+        /// A write to the data directory has failed.
+        Storage {
+            display("the storage has failed; what is on the disk is read again at the next start")
+        }
         /// Services cannot be connected.
         Kernel(source: masticarch_kernel::error::Error) {
             from()
--- a/crates/control/src/options.rs
+++ b/crates/control/src/options.rs
@@ -7,6 +7,16 @@
 use masticarch_model::member;
 use masticarch_wire::handshake;
 
+/// What a control process does when its storage has failed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Loss {
+    /// It stays, without taking part, until an operator restarts it.
+    #[default]
+    Stay,
+    /// It ends, so that it starts again with what is on the disk.
+    End,
+}
+
 /// What a control process is started with.
 #[derive(Clone, Debug, Builder)]
 pub struct Options {
@@ -47,6 +57,9 @@
     /// Whether this process joins an existing group as a learner.
     #[builder(default)]
     pub join: bool,
+    /// What the process does when its storage has failed.
+    #[builder(default)]
+    pub storage_loss: Loss,
     /// The fleet's secret.
     pub credential: handshake::Credential,
     /// Credentials of the operators.
--- a/crates/control/src/role.rs
+++ b/crates/control/src/role.rs
@@ -3,6 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::FutureExt;
+use futures::channel::oneshot;
 use masticarch_kernel::{kernel, stop};
 
 use crate::{
@@ -34,16 +36,36 @@
 ) -> Result<(), error::Error> {
     let options = formation::complete(options).map_err(error::Error::Journal)?;
     let ports = Ports::open(&options)?;
+    let on_loss = options.storage_loss;
     let journal = journal::Journal::open(&options)?;
     let mut kernel = kernel::Kernel::new();
-    let services = start_owners(&mut kernel, &options, journal)?;
+    let (storage, lost) = stop::Stop::new();
+    let services = start_owners(&mut kernel, &options, journal, storage)?;
     start_ports(&mut kernel, ports, &services, options);
     extend(&mut kernel, &services)?;
     tracing::info!("control role started");
-    stop.wait().await;
-    kernel.shutdown(STOP_LIMIT).await;
+    let failed = futures::select_biased! {
+        () = stop.wait().fuse() => false,
+        () = storage_lost(&lost, on_loss).fuse() => true,
+    };
+    let stopping = kernel.shutdown(STOP_LIMIT);
+    if monoio::time::timeout(STOP_LIMIT, stopping).await.is_err() {
+        tracing::warn!("services were still stopping at the limit");
+    }
     tracing::info!("control role stopped");
-    Ok(())
+    if failed {
+        Err(error::Error::Storage)
+    } else {
+        Ok(())
+    }
+}
+
+/// Waits until the storage has failed, where that ends the process.
+async fn storage_lost(lost: &stop::Stop, on_loss: options::Loss) {
+    if on_loss == options::Loss::Stay {
+        std::future::pending::<()>().await;
+    }
+    lost.wait().await;
 }
 
 /// The listening sockets, opened before any service starts.
@@ -68,6 +90,7 @@
     kernel: &mut kernel::Kernel,
     options: &options::Options,
     journal: journal::Journal,
+    storage: oneshot::Sender<()>,
 ) -> Result<services::Services, error::Error> {
     let agreement = kernel.register::<agreement::message::Message>(name::AGREEMENT, CAPACITY)?;
     let registry = kernel.register::<registry::message::Message>(name::REGISTRY, CAPACITY)?;
@@ -83,6 +106,7 @@
         kernel
             .registry()
             .lookup::<agreement::outgoing::Outgoing>(name::OUTBOUND)?,
+        storage,
     );
     kernel.start(name::AGREEMENT, |stop| state.run(agreement, stop));
     if !options.seeds.is_empty() {
--- a/crates/control/tests/group/mod.rs
+++ b/crates/control/tests/group/mod.rs
@@ -79,8 +79,9 @@
         let state = Rc::new(RefCell::new(State::default()));
         task::spawn(SERVICE, own(events, Rc::clone(&state)));
         let outbound = self.outbound.clone();
+        let (storage, _) = stop::Stop::new();
         let service = service::Service::<event::Event, outgoing::Outgoing>::new(
-            options, journal, owner, outbound,
+            options, journal, owner, outbound, storage,
         );
         let (stop, signal) = stop::Stop::new();
         let handle = task::spawn(SERVICE, service.run(mailbox, signal));
