Stay in the failure domain and the region while their targets are not busy

A target's cost was its latency times its load, so a slow instance with free slots lost its requests to other regions.

Ruled out: a larger margin (latencies differ by more than the link is long).

Change: a target below four fifths of its limit that does not shed is used before one further away: failure domain, then region, then the rest.

--- a/crates/policy/src/route/load.rs
+++ b/crates/policy/src/route/load.rs
@@ -23,7 +23,17 @@
     pub shedding: bool,
 }
 
+/// Part of the limit from which on requests may have to queue.
+const BUSY_PART: f64 = 0.8;
+
 impl Load {
+    /// Whether a further request may have to queue.
+    #[must_use]
+    pub fn is_busy(&self) -> bool {
+        let full = f64::from(self.in_flight) >= BUSY_PART * f64::from(self.limit);
+        full || self.shedding
+    }
+
     /// Network latency and estimated wait together.
     #[must_use]
     pub fn cost(&self) -> Duration {
--- a/crates/policy/src/route/pool.rs
+++ b/crates/policy/src/route/pool.rs
@@ -12,9 +12,12 @@
 /// latency between regions, spilling flaps with every change of load.
 const SPILL_MARGIN: Duration = Duration::from_millis(12);
 
-/// The serving targets of one service, by region; `K` is a `Copy` key.
+/// The serving targets of one service, by distance; `K` is a `Copy` key.
 #[derive(Clone, Debug)]
 pub struct Pool<K> {
+    /// Those of the same failure domain.
+    domain: Vec<K>,
+    /// Those of the region, of the same failure domain as well.
     near: Vec<K>,
     remote: Vec<K>,
 }
@@ -22,6 +25,7 @@
 impl<K> Default for Pool<K> {
     fn default() -> Self {
         Self {
+            domain: Vec::new(),
             near: Vec::new(),
             remote: Vec::new(),
         }
@@ -33,7 +37,11 @@
     pub fn add(&mut self, key: K, locality: locality::Locality) {
         match locality {
             locality::Locality::Remote => self.remote.push(key),
-            locality::Locality::Domain | locality::Locality::Region => self.near.push(key),
+            locality::Locality::Region => self.near.push(key),
+            locality::Locality::Domain => {
+                self.domain.push(key);
+                self.near.push(key);
+            }
         }
     }
 
@@ -54,17 +62,22 @@
         self.near.is_empty() && self.remote.is_empty()
     }
 
-    /// Chooses the cheaper of two random usable targets in the region. A remote
-    /// one is taken when there is none, or when it is cheaper by a margin.
+    /// Chooses the cheaper of two random usable targets in the failure domain; if
+    /// it is busy, of two in the region. A remote one is taken when there is none,
+    /// or when those in the region are busy and it is cheaper by a margin: links
+    /// between regions are narrow and billed.
     pub fn choose(
         &self,
         rng: &mut Rng,
         usable: impl Fn(K) -> bool,
         load: impl Fn(K) -> load::Load,
     ) -> Option<K> {
+        let close = choose_two(&self.domain, rng, &usable, &load);
+        if close.is_some_and(|key| !load(key).is_busy()) {
+            return close;
+        }
         let near = choose_two(&self.near, rng, &usable, &load);
-        let cost = near.map(|key| load(key).cost());
-        if cost.is_some_and(|cost| cost <= SPILL_MARGIN + locality::Locality::Remote.latency()) {
+        if near.is_some_and(|key| !load(key).is_busy()) {
             return near;
         }
         let remote = choose_two(&self.remote, rng, &usable, &load);
--- a/crates/policy/tests/route.rs
+++ b/crates/policy/tests/route.rs
@@ -126,3 +126,35 @@
 
     assert_eq!(choice, Some(1));
 }
+
+// Guards against bytes between failure domains, or between regions, that an own
+// target with room makes unnecessary although it is slower.
+#[test]
+fn slower_target_nearby_is_used_while_it_is_not_busy() {
+    let mut rng = Rng::with_seed(1);
+    let pool = pool_of(&NEAR_AND_FAR);
+    let load = |key: usize| load::Load {
+        in_flight: [7, 0, 0][key],
+        latency: Duration::from_millis(500),
+        ..idle(NEAR_AND_FAR[key])
+    };
+
+    let choice = pool.choose(&mut rng, |_| true, load);
+
+    assert_eq!(choice, Some(0));
+}
+
+// Guards against a busy target whose neighbour in the region is idle.
+#[test]
+fn busy_target_gives_way_to_its_neighbour() {
+    let mut rng = Rng::with_seed(1);
+    let pool = pool_of(&NEAR_AND_FAR);
+    let load = |key: usize| load::Load {
+        in_flight: [8, 0, 0][key],
+        ..idle(NEAR_AND_FAR[key])
+    };
+
+    let choice = pool.choose(&mut rng, |_| true, load);
+
+    assert_eq!(choice, Some(1));
+}
