--- a/crates/control/tests/storage.rs
+++ b/crates/control/tests/storage.rs
@@ -10,7 +10,7 @@
 use masticarch_control::{error, options, role};
 use masticarch_kernel::{name, stop, task};
 use masticarch_wire::message::operator;
-use rustix::process::{Resource, Rlimit, setrlimit};
+use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
 
 const ROLE: name::Name = name::Name::new("control");
 /// `SIGXFSZ` of Linux, which goes with a write beyond the limit.
@@ -52,14 +52,17 @@
             monoio::time::sleep(Duration::from_millis(20)).await;
         }
 
+        let usual = getrlimit(Resource::Fsize);
         let none = Rlimit {
             current: Some(0),
-            maximum: None,
+            ..usual
         };
         setrlimit(Resource::Fsize, none).unwrap();
         let change = fixture::change(1, 0, Vec::new());
         let call = task::spawn(ROLE, async move { client.call(&change).await });
         let ended = monoio::time::timeout(PROMPT, process).await;
+        // The output of the test may go to a file.
+        setrlimit(Resource::Fsize, usual).unwrap();
 
         assert!(
             matches!(ended, Ok(Some(Err(error::Error::Storage)))),
