Remove a node only when its shares of team limits are over

Cause: a control process that restarts replays its log and took every run that the log had ever removed for one that may still hold a share, as of the restart. The new owner of the rates then granted nothing for 5.25 s, and a change of leader waited as long for runs removed shortly before it.

Ruled out: slow election (leader 0.5 s after the start), nodes without a configuration (they answer 429, not 503).

Change: the owner releases a silent node before it is removed from the directory: it holds nothing by then and gets nothing until it joins again. Whoever leads next waits for nodes of the directory only; the list of removed runs is gone. A lease takes 2.85 s in place of 5 s, so that it is over when a silent node is due for removal.

--- a/crates/control/src/allotment/message.rs
+++ b/crates/control/src/allotment/message.rs
@@ -18,6 +18,12 @@
         Option<incarnation::Incarnation>,
         Vec<incarnation::Incarnation>,
     ),
+    /// Those of the silent runs that hold no share; they get none until they join
+    /// again.
+    Release(
+        Vec<incarnation::Incarnation>,
+        reply::Reply<Vec<incarnation::Incarnation>>,
+    ),
     /// The limits of all teams.
     Limits(Vec<lease::Limit>),
     /// Decides on a node's reports; `None` when this process does not lead or
--- a/crates/control/src/allotment/service.rs
+++ b/crates/control/src/allotment/service.rs
@@ -46,6 +46,11 @@
                 self.change_role(leadership, holders, now);
             }
             message::Message::Holders(joined, ended) => self.follow(joined, &ended),
+            message::Message::Release(silent, reply) => {
+                let owner = self.owner.as_mut();
+                let released = owner.map(|owner| owner.release(now, silent));
+                let _ = reply.send(released.unwrap_or_default());
+            }
             message::Message::Limits(limits) => self.set_limits(limits, now),
             message::Message::Renew(request, reply) => {
                 let owner = self.owner.as_mut();
--- a/crates/control/src/membership/expiry.rs
+++ b/crates/control/src/membership/expiry.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use masticarch_kernel::{error, stop};
-use masticarch_model::command;
+use masticarch_model::{command, incarnation, map, name};
 
 use super::message;
-use crate::{registry, services};
+use crate::{allotment, registry, services};
 
 /// Time between looks at the contacts; adds to the time until a removal.
 const PERIOD: Duration = Duration::from_millis(250);
@@ -32,6 +32,10 @@
     if silent.is_empty() {
         return Ok(());
     }
+    let silent = released(services, silent).await?;
+    if silent.is_empty() {
+        return Ok(());
+    }
     let count = silent.len();
     let command = command::Command::Leave(silent);
     match services.commands.commit(&command).await {
@@ -40,3 +44,18 @@
     }
     Ok(())
 }
+
+/// Those of the silent nodes whose shares are over: after its removal, a later
+/// leader would not know of them.
+async fn released(
+    services: &services::Services,
+    mut silent: Vec<(name::Name, incarnation::Incarnation)>,
+) -> Result<Vec<(name::Name, incarnation::Incarnation)>, error::Error> {
+    let runs = silent.iter().map(|(_, incarnation)| *incarnation).collect();
+    let released = services
+        .allotment
+        .ask(|reply| allotment::message::Message::Release(runs, reply));
+    let released: map::Set<_> = released.await?.into_iter().collect();
+    silent.retain(|(_, incarnation)| released.contains(incarnation));
+    Ok(silent)
+}
--- a/crates/control/src/registry/service.rs
+++ b/crates/control/src/registry/service.rs
@@ -23,7 +23,6 @@
     outcomes: outcomes::Outcomes,
     polls: polls::Polls,
     retention: retention::Retention,
-    holders: holders::Holders,
     leads: bool,
     allotment: address::Address<allotment::message::Message>,
     membership: address::Address<membership::message::Message>,
@@ -45,7 +44,6 @@
             outcomes,
             polls: polls::Polls::default(),
             retention: retention::Retention::default(),
-            holders: holders::Holders::default(),
             leads: false,
             allotment,
             membership,
@@ -173,9 +171,7 @@
         let followed = command.clone().filter(is_of_nodes);
         self.apply(index, command);
         let Some(command) = followed else { return };
-        let step = self
-            .holders
-            .follow(&command, before, &self.catalog, Instant::now());
+        let step = holders::follow(&command, before, &self.catalog);
         if step != holders::Step::default() {
             let message = allotment::message::Message::Holders(step.joined, step.ended);
             let _ = self.allotment.send(message).await;
@@ -205,7 +201,7 @@
     async fn change_role(&mut self, leadership: log::Leadership) {
         let leads = leadership.leads();
         self.leads = leads;
-        let holders = self.holders.present(&self.catalog, Instant::now());
+        let holders = holders::present(&self.catalog);
         self.retention.clear();
         self.metrics.leads(leads);
         let _ = self
--- a/crates/control/tests/ports.rs
+++ b/crates/control/tests/ports.rs
@@ -298,6 +298,34 @@
     }
 }
 
+// Guards against a restarted process that takes a run removed long before for one
+// that may hold a share, and grants nothing for the length of a lease.
+#[test]
+fn restart_waits_for_no_run_that_was_removed() {
+    run(async {
+        let control = Control::start().await;
+        let operator = control.operator().await;
+        operator
+            .call(&change(1, 0, vec![edit::Edit::Replace(set())]))
+            .await;
+        let member = control.member().await;
+        member.sync(&poll(&node("guiones-1", 8), 0)).await;
+        let mut view = fixture::snapshot(member.sync(&poll(&node("alertas-1", 7), 0)).await);
+        while view.nodes.len() == 2 {
+            let held = view.version.0;
+            let reply = member.sync(&poll(&node("alertas-1", 7), held)).await;
+            fixture::update(&mut view, reply);
+        }
+        let control = control.restart().await;
+        let member = control.member().await;
+
+        let granted = member.lease(&demand_of_arica()).await;
+
+        assert!(granted_rate(&granted) >= 40.0);
+        control.stop().await;
+    });
+}
+
 // Guards against a new leader that grants rate while leases of its predecessor
 // may be in use.
 #[test]
--- a/crates/policy/src/share/account.rs
+++ b/crates/policy/src/share/account.rs
@@ -120,6 +120,12 @@
         !self.holdings.is_empty()
     }
 
+    /// Whether a holder may be using a share.
+    pub fn counts(&self, now: Instant, node: incarnation::Incarnation) -> bool {
+        let holding = self.holdings.get(&node);
+        holding.is_some_and(|holding| !holding.counted.is_empty() && holding.expires > now)
+    }
+
     /// Decides on a holder's report. Before `opened`, shares granted by an
     /// earlier owner may be in use unreported, so that nothing new is granted.
     pub fn renew(
--- a/crates/policy/src/share/lease.rs
+++ b/crates/policy/src/share/lease.rs
@@ -6,10 +6,10 @@
 
 /// Time for which a share may be used, by the holder's clock, from before the
 /// request was sent.
-pub const LEASE: Duration = Duration::from_secs(5);
+pub const LEASE: Duration = Duration::from_millis(2850);
 /// Time for which the owner counts a share, by its own clock: the lease and 5%
 /// for clocks that run at different rates.
-pub const COUNTED: Duration = Duration::from_millis(5250);
+pub const COUNTED: Duration = Duration::from_secs(3);
 
 /// Time for which drawn tokens may be used, by the holder's clock, from before
 /// the request was sent. A request waits for a token no longer.
--- a/crates/policy/src/share/owner.rs
+++ b/crates/policy/src/share/owner.rs
@@ -38,6 +38,8 @@
     /// this one; once there are none, nothing is left to wait for. `None` when
     /// they are not known.
     awaited: Option<map::Set<incarnation::Incarnation>>,
+    /// Holders that are about to be removed, and until when they get nothing.
+    released: map::Map<incarnation::Incarnation, Instant>,
     accounts: SlotMap<AccountKey, account::Account>,
     teams: map::Map<name::Name, AccountKey>,
     connections: map::Map<incarnation::Incarnation, Connection>,
@@ -51,6 +53,7 @@
         Self {
             opened: now + lease::COUNTED,
             awaited: None,
+            released: map::Map::default(),
             accounts: SlotMap::with_key(),
             teams: map::Map::default(),
             connections: map::Map::default(),
@@ -78,6 +81,7 @@
 
     /// A holder may have shares of earlier owners as well.
     pub fn await_holder(&mut self, holder: incarnation::Incarnation) {
+        self.released.remove(&holder);
         if let Some(awaited) = &mut self.awaited {
             awaited.insert(holder);
         }
@@ -90,6 +94,47 @@
         }
     }
 
+    /// Those of the silent holders that hold no share. They get none either until
+    /// they join again, so that an owner after this one need not know of them once
+    /// they are removed.
+    pub fn release(
+        &mut self,
+        now: Instant,
+        mut silent: Vec<incarnation::Incarnation>,
+    ) -> Vec<incarnation::Incarnation> {
+        silent.retain(|holder| !self.may_hold(now, *holder));
+        let until = now + lease::COUNTED;
+        self.released
+            .extend(silent.iter().map(|holder| (*holder, until)));
+        silent
+    }
+
+    /// Whether a holder may be using a share.
+    fn may_hold(&self, now: Instant, holder: incarnation::Incarnation) -> bool {
+        let heard = self
+            .awaited
+            .as_ref()
+            .is_some_and(|awaited| !awaited.contains(&holder));
+        let unheard = now < self.opened && !heard;
+        unheard
+            || self
+                .accounts
+                .values()
+                .any(|account| account.counts(now, holder))
+    }
+
+    /// Whether nothing is granted because shares of earlier owners may be in use.
+    #[must_use]
+    pub fn is_closed(&self, now: Instant) -> bool {
+        now < self.opened
+    }
+
+    /// Number of holders whose reports this owner waits for.
+    #[must_use]
+    pub fn awaited(&self) -> usize {
+        self.awaited.as_ref().map_or(0, map::Set::len)
+    }
+
     fn open_early(&mut self, now: Instant) {
         if self.awaited.as_ref().is_some_and(map::Set::is_empty) {
             self.opened = self.opened.min(now);
@@ -123,6 +168,9 @@
         if !self.is_latest(now, request) {
             return None;
         }
+        if self.released.contains_key(&request.node) {
+            return Some(Vec::new());
+        }
         for report in &request.reports {
             self.hear(now, request.node, report);
         }
@@ -147,6 +195,7 @@
             }
             keep
         });
+        self.released.retain(|_, until| *until > now);
         self.connections.retain(|_, connection| {
             now.saturating_duration_since(connection.seen) < CONNECTION_KEPT
         });
--- a/crates/policy/tests/share_owner.rs
+++ b/crates/policy/tests/share_owner.rs
@@ -221,6 +221,56 @@
     assert!(after[0].share.rate > 0.0);
 }
 
+// Guards against a run that is removed with a share of which a later owner does
+// not know.
+#[test]
+fn holder_is_released_once_its_share_is_over() {
+    let now = Instant::now();
+    let holder = incarnation::Incarnation(1);
+    let mut owner = owner::Owner::first(now);
+    owner.set_limits(now, &[whole(limit(100.0, 100.0))]);
+    owner.renew(now, &empty_handed(holder)).unwrap();
+
+    let early = owner.release(now + lease::LEASE, vec![holder]);
+    let late = owner.release(now + lease::COUNTED, vec![holder]);
+
+    assert_eq!(early, vec![]);
+    assert_eq!(late, vec![holder]);
+}
+
+// Guards against a new owner that releases a run which may have a share of the
+// owner before.
+#[test]
+fn new_owner_releases_no_holder_that_it_has_not_heard() {
+    let now = Instant::now();
+    let (heard, silent) = (incarnation::Incarnation(1), incarnation::Incarnation(2));
+    let mut owner = owner::Owner::awaiting(now, [heard, silent].into_iter().collect());
+    owner.set_limits(now, &[whole(limit(100.0, 100.0))]);
+    owner.renew(now, &empty_handed(heard)).unwrap();
+
+    let released = owner.release(now, vec![heard, silent]);
+
+    assert_eq!(released, vec![heard]);
+}
+
+// Guards against a share that is granted between the release of a run and its
+// removal.
+#[test]
+fn released_holder_gets_nothing_until_it_joins_again() {
+    let now = Instant::now();
+    let holder = incarnation::Incarnation(1);
+    let mut owner = owner::Owner::first(now);
+    owner.set_limits(now, &[whole(limit(100.0, 100.0))]);
+    owner.release(now, vec![holder]);
+
+    let before = owner.renew(now, &empty_handed(holder)).unwrap();
+    owner.await_holder(holder);
+    let after = owner.renew(now, &empty_handed(holder)).unwrap();
+
+    assert_eq!(before, vec![]);
+    assert!(after[0].share.rate > 0.0);
+}
+
 fn whole(limit: lease::Share) -> lease::Limit {
     lease::Limit {
         team: share_fleet::team(),
