Watch only the nodes that requests go to

Cause: a node that had once sent a request to another one kept its connections and pinged it twice a second for 11 minutes, so that pings and connections grew with nodes x nodes.

Change: a peer that no request used for 5 s is forgotten with its connections, unless an exchange is in flight. No ping is sent while answers show that the connections are alive: an answer counts only if its connection is older than what is already known to be alive, because a connection opened later says nothing about the earlier ones.

Bytes between regions stay at 76 MB: a trial with counters shows that they are lease reports of all teams (2.4 KB, up to 14 a second and node), and that no request left its region.

--- a/crates/node/src/links/probe.rs
+++ b/crates/node/src/links/probe.rs
@@ -11,8 +11,8 @@
 
 use super::{message, open};
 
-/// Time between two probes.
-const INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two looks at whether a probe is due.
+pub const INTERVAL: Duration = Duration::from_millis(500);
 /// Longest wait for the answer to a probe.
 const TIMEOUT: Duration = Duration::from_millis(400);
 /// Largest answer to a probe.
@@ -21,6 +21,7 @@
 /// Probes a node on a connection of its own, which is as old as the generation
 /// it stands for, and reports the first probe that is not answered. Busy
 /// connections cannot be probed themselves: each carries one request at a time.
+/// No probe is sent while answers to requests show that the generation is alive.
 pub async fn run(
     peer: SocketAddr,
     epoch: u64,
@@ -28,15 +29,19 @@
     links: address::Address<message::Message>,
 ) {
     if let Ok(mut connection) = open::open(peer, &credential).await {
-        while probe(&mut connection).await {
-            if links
-                .send(message::Message::Alive(peer, epoch))
-                .await
-                .is_err()
-            {
+        loop {
+            monoio::time::sleep(INTERVAL).await;
+            let due = |reply| message::Message::Due(peer, epoch, reply);
+            match links.ask(due).await {
+                Ok(false) => continue,
+                Ok(true) if probe(&mut connection).await => {}
+                Ok(true) => break,
+                Err(_) => return,
+            }
+            let alive = message::Message::Alive(peer, epoch);
+            if links.send(alive).await.is_err() {
                 return;
             }
-            monoio::time::sleep(INTERVAL).await;
         }
     }
     let _ = links.send(message::Message::Silent(peer, epoch)).await;
--- a/crates/node/src/links/service.rs
+++ b/crates/node/src/links/service.rs
@@ -14,15 +14,19 @@
 
 /// Most idle connections kept to one node.
 const MAX_IDLE: usize = 64;
-/// A node that no request used for this long is forgotten; longer than the
-/// longest timeout of a route, so that no request is in flight there.
-const UNUSED: Duration = Duration::from_mins(11);
+/// A node that no request used for this long is forgotten with its connections, so
+/// that a node watches those it works with and not the whole fleet.
+const UNUSED: Duration = Duration::from_secs(5);
 
 /// Connections to one node that were opened in one generation.
 struct Peer {
     epoch: u64,
-    idle: Vec<message::Connection>,
+    idle: Vec<message::Pooled>,
     used: Instant,
+    /// Until when the connections are known not to have gone silent.
+    verified: Instant,
+    /// Shared with the exchanges in flight.
+    hold: Rc<()>,
     silent: stop::Stop,
     // Dropped with the generation, which resolves `silent`.
     _alive: oneshot::Sender<()>,
@@ -65,13 +69,18 @@
             message::Message::Checkin(address, epoch, connection) => {
                 self.checkin(address, epoch, connection);
             }
+            message::Message::Due(address, epoch, reply) => {
+                let _ = reply.send(self.is_due(address, epoch));
+            }
             message::Message::Alive(address, epoch) => {
-                self.forget(address, |peer| {
-                    peer.epoch == epoch && peer.used.elapsed() > UNUSED
-                });
+                if let Some(peer) = self.generation(address, epoch) {
+                    peer.verified = Instant::now();
+                }
             }
             message::Message::Silent(address, epoch) => {
-                self.forget(address, |peer| peer.epoch == epoch);
+                if self.generation(address, epoch).is_some() {
+                    self.peers.remove(&address);
+                }
             }
         }
     }
@@ -89,6 +98,7 @@
             connection: take(&mut peer.idle),
             epoch: peer.epoch,
             silent: peer.silent.clone(),
+            hold: Rc::clone(&peer.hold),
         };
         if let Err(message::Ticket {
             connection: Some(connection),
@@ -99,17 +109,34 @@
         }
     }
 
-    fn checkin(&mut self, address: SocketAddr, epoch: u64, connection: message::Connection) {
-        let peer = self.peers.get_mut(&address);
-        if let Some(peer) = peer.filter(|peer| peer.epoch == epoch && peer.idle.len() < MAX_IDLE) {
-            peer.idle.push(connection);
+    fn checkin(&mut self, address: SocketAddr, epoch: u64, pooled: message::Pooled) {
+        let Some(peer) = self.generation(address, epoch) else {
+            return;
+        };
+        // A connection that was opened later says nothing about the earlier ones.
+        if pooled.opened <= peer.verified {
+            peer.verified = Instant::now();
+        }
+        if peer.idle.len() < MAX_IDLE {
+            peer.idle.push(pooled);
         }
     }
 
-    fn forget(&mut self, address: SocketAddr, condition: impl Fn(&Peer) -> bool) {
-        if self.peers.get(&address).is_some_and(condition) {
+    /// Whether a generation must be probed; forgets one that is out of use.
+    fn is_due(&mut self, address: SocketAddr, epoch: u64) -> bool {
+        let Some(peer) = self.generation(address, epoch) else {
+            return false;
+        };
+        if Rc::strong_count(&peer.hold) == 1 && peer.used.elapsed() > UNUSED {
             self.peers.remove(&address);
+            return false;
         }
+        peer.verified.elapsed() >= probe::INTERVAL
+    }
+
+    fn generation(&mut self, address: SocketAddr, epoch: u64) -> Option<&mut Peer> {
+        let peer = self.peers.get_mut(&address);
+        peer.filter(|peer| peer.epoch == epoch)
     }
 
     fn begin(&mut self, address: SocketAddr) -> Peer {
@@ -127,6 +154,8 @@
             epoch: self.epochs,
             idle: Vec::new(),
             used: Instant::now(),
+            verified: Instant::now(),
+            hold: Rc::new(()),
             silent,
             _alive: alive,
         }
@@ -134,10 +163,10 @@
 }
 
 /// The connection used last that is still fit for use.
-fn take(idle: &mut Vec<message::Connection>) -> Option<message::Connection> {
-    while let Some(mut connection) = idle.pop() {
-        if connection.is_idle() {
-            return Some(connection);
+fn take(idle: &mut Vec<message::Pooled>) -> Option<message::Pooled> {
+    while let Some(mut pooled) = idle.pop() {
+        if pooled.connection.is_idle() {
+            return Some(pooled);
         }
     }
     None
--- a/crates/node/src/peer/exchange.rs
+++ b/crates/node/src/peer/exchange.rs
@@ -1,6 +1,7 @@
 //! Sends requests to other nodes.
 
 use std::net::SocketAddr;
+use std::time::Instant;
 
 use bytes::Bytes;
 use futures::future::Either;
@@ -58,25 +59,33 @@
     let Ok(ticket) = services.links.ask(checkout).await else {
         return Err(refusal::Refusal::draining());
     };
-    let mut connection = match ticket.connection {
-        Some(connection) => connection,
+    let mut pooled = match ticket.connection {
+        Some(pooled) => pooled,
         // Boxed, as the less frequent way takes more space than the other.
-        None => Box::pin(open::open(address, &services.options.credential))
-            .await
-            .map_err(|_| unreachable_node())?,
+        None => Box::pin(open(services, address)).await?,
     };
-    let exchange = connection.exchange(request, space);
+    let exchange = pooled.connection.exchange(request, space);
     let answer = match race::race(exchange, ticket.silent.wait()).await {
         Either::Left(answer) => answer.map_err(|failure| refusal::Refusal::from(&failure))?,
         Either::Right(()) => return Err(silent_node()),
     };
     if answer.keep_alive {
-        let checkin = links::Message::Checkin(address, ticket.epoch, connection);
+        let checkin = links::Message::Checkin(address, ticket.epoch, pooled);
         let _ = services.links.send(checkin).await;
     }
     Ok(answer)
 }
 
+async fn open(
+    services: &services::Services,
+    address: SocketAddr,
+) -> Result<links::Pooled, refusal::Refusal> {
+    let opened = Instant::now();
+    let connection = open::open(address, &services.options.credential).await;
+    let connection = connection.map_err(|_| unreachable_node())?;
+    Ok(links::Pooled { connection, opened })
+}
+
 fn unreachable_node() -> refusal::Refusal {
     refusal::Refusal {
         ran: ran::Ran::No,
--- a/crates/node/tests/common/proxy.rs
+++ b/crates/node/tests/common/proxy.rs
@@ -11,13 +11,15 @@
 pub struct Proxy {
     pub address: SocketAddr,
     generation: Arc<AtomicUsize>,
+    open: Arc<AtomicUsize>,
 }
 
 /// Starts a proxy on an address that other processes already know.
 pub fn start(address: SocketAddr, to: SocketAddr) -> Proxy {
     let listener = TcpListener::bind(address).unwrap();
     let generation = Arc::new(AtomicUsize::new(0));
-    let shared = generation.clone();
+    let open = Arc::new(AtomicUsize::new(0));
+    let (shared, counted) = (generation.clone(), open.clone());
     thread::spawn(move || {
         for near in listener.incoming().flatten() {
             let Ok(far) = TcpStream::connect(to) else {
@@ -31,18 +33,28 @@
             ];
             let born = shared.load(Ordering::SeqCst);
             for (from, to) in ways {
-                let shared = shared.clone();
-                thread::spawn(move || copy(from, to, || shared.load(Ordering::SeqCst) == born));
+                let (shared, counted) = (shared.clone(), counted.clone());
+                counted.fetch_add(1, Ordering::SeqCst);
+                thread::spawn(move || {
+                    copy(from, to, || shared.load(Ordering::SeqCst) == born);
+                    counted.fetch_sub(1, Ordering::SeqCst);
+                });
             }
         }
     });
     Proxy {
         address,
         generation,
+        open,
     }
 }
 
 impl Proxy {
+    /// Whether any connection is open in one direction at least.
+    pub fn is_in_use(&self) -> bool {
+        self.open.load(Ordering::SeqCst) > 0
+    }
+
     /// Lets the open connections pass nothing more; they stay open.
     pub fn silence(&self) {
         self.generation.fetch_add(1, Ordering::SeqCst);
--- a/crates/node/tests/links.rs
+++ b/crates/node/tests/links.rs
@@ -42,3 +42,21 @@
     assert!(lost.contains("masticarch-ran: unknown"), "{lost}");
     assert!(after.ends_with("hello"), "{after}");
 }
+
+// Guards against a node that keeps and probes connections to every node that it
+// has ever sent a request to.
+#[test]
+fn connections_to_a_node_out_of_use_are_closed() {
+    let (near, _far, proxy) = pair_behind_proxy();
+    let answer = client::exchange(near.caller, &client::get("/guiones", ""));
+    let used = proxy.is_in_use();
+
+    let begun = Instant::now();
+    while proxy.is_in_use() && begun.elapsed() < Duration::from_secs(8) {
+        std::thread::sleep(Duration::from_millis(100));
+    }
+
+    assert!(answer.ends_with("hello"), "{answer}");
+    assert!(used);
+    assert!(!proxy.is_in_use());
+}
