Report only teams that are due, and keep half of small limits for waiting requests

The demand of a team at one node is about one request a second, so that shares and demand match badly whatever is reported.

Change: a report carries the teams whose lease is due or whose requests wait, in single precision rounded down. A team whose burst is below 8 tokens for each active node leaves half of its limit with the owner, and requests that wait at any of its nodes draw from it, also when the demand exceeds the limit. Reports that may be lost are sent again after 250 ms.

--- a/crates/control/src/member/lease.rs
+++ b/crates/control/src/member/lease.rs
@@ -1,6 +1,7 @@
 //! Renewal of a node's shares of team limits.
 
 use masticarch_kernel::error;
+use masticarch_policy::number;
 use masticarch_policy::share::lease as policy;
 use masticarch_wire::message::lease;
 
@@ -50,23 +51,24 @@
     policy::Report {
         team: report.team,
         held: policy::Share {
-            rate: report.held.rate,
-            burst: report.held.burst,
+            rate: report.held.rate.into(),
+            burst: report.held.burst.into(),
         },
-        released: report.released,
-        demand: report.demand,
-        wanted: report.wanted,
+        released: report.released.into(),
+        demand: report.demand.into(),
+        wanted: report.wanted.into(),
     }
 }
 
+/// Rounds down, so that no holder has more than the owner counts.
 fn grant(grant: policy::Grant) -> lease::Grant {
     lease::Grant {
         team: grant.team,
         share: lease::Share {
-            rate: grant.share.rate,
-            burst: grant.share.burst,
+            rate: number::single(grant.share.rate),
+            burst: number::single(grant.share.burst),
         },
-        tokens: grant.tokens,
-        drawn: grant.drawn,
+        tokens: number::single(grant.tokens),
+        drawn: number::single(grant.drawn),
     }
 }
--- a/crates/control/tests/ports.rs
+++ b/crates/control/tests/ports.rs
@@ -291,7 +291,7 @@
 }
 
 /// The rate of the first grant, in requests per second.
-fn granted_rate(reply: &lease::Reply) -> f64 {
+fn granted_rate(reply: &lease::Reply) -> f32 {
     match reply {
         lease::Reply::Grants(grants) => grants[0].share.rate,
         lease::Reply::NotLeader(_) => panic!("not the leader"),
@@ -348,7 +348,7 @@
         member.sync(&poll(&node("alertas-1", 7), 0)).await;
         let late = member.lease(&request).await;
 
-        assert!(granted_rate(&early).abs() < f64::EPSILON);
+        assert!(granted_rate(&early).abs() < f32::EPSILON);
         assert!(granted_rate(&late) >= 40.0);
         control.stop().await;
     });
--- a/crates/node/src/gate/message.rs
+++ b/crates/node/src/gate/message.rs
@@ -60,6 +60,8 @@
     Reports(reply::Reply<Vec<lease::Report>>),
     /// Grants in answer to a request sent at this moment.
     Granted(Vec<lease::Grant>, Instant),
+    /// The owner may not have got the latest reports.
+    Unreported,
     /// Refuses new requests from now on.
     Drain,
 }
--- a/crates/node/src/gate/reports.rs
+++ b/crates/node/src/gate/reports.rs
@@ -1,13 +1,11 @@
 //! When the next lease request is due.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use masticarch_kernel::reply;
+use masticarch_policy::share::holder;
 use masticarch_wire::message::lease;
 
-/// Time between two lease requests when nothing is urgent.
-const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
-
 /// The lease task's question for reports, which waits until they are due.
 #[derive(Debug)]
 pub struct Reports {
@@ -41,7 +39,7 @@
         }
         // Released tokens are reported once: not to an asker that has gone.
         let asked = self.asked.take().filter(|asked| !asked.is_canceled())?;
-        self.due = now + RENEWAL_INTERVAL;
+        self.due = now + holder::REPORT_INTERVAL;
         Some(asked)
     }
 
--- a/crates/node/src/gate/state.rs
+++ b/crates/node/src/gate/state.rs
@@ -22,6 +22,9 @@
 /// Time after its deadline at which a request that nobody ended is dropped: its
 /// connection task went away before it read the reply.
 const GRACE: Duration = Duration::from_secs(1);
+/// Time after which reports that may be lost are sent again: an election takes
+/// longer.
+const RESEND_WAIT: Duration = Duration::from_millis(250);
 /// Attempts per hop of the baseline of experiments, those of a usual proxy.
 const BASELINE_ATTEMPTS: usize = 3;
 
@@ -89,6 +92,10 @@
                     self.teams.granted(&grants, sent, now);
                 }
             }
+            message::Message::Unreported => {
+                self.teams.unreported();
+                self.reports.hasten(now + RESEND_WAIT);
+            }
             message::Message::Drain => self.draining = true,
         }
     }
--- a/crates/node/src/gate/teams.rs
+++ b/crates/node/src/gate/teams.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use masticarch_model::{directory, map, name};
+use masticarch_policy::number;
 use masticarch_policy::share::{Share, decision, holder};
 use masticarch_wire::message::lease;
 use slotmap::{SecondaryMap, SlotMap};
@@ -99,15 +100,22 @@
         self.wakes.first().map(|(wake, _)| *wake)
     }
 
-    /// The reports of all teams that are active or hold a share.
+    /// The reports on the teams of which the owner should hear now.
     pub fn reports(&mut self, now: Instant) -> Vec<lease::Report> {
         self.arena
             .values_mut()
-            .filter(|team| !team.holder.is_idle(now))
+            .filter(|team| team.holder.is_due(now))
             .map(|team| report(team, now))
             .collect()
     }
 
+    /// The owner may not have got the latest reports.
+    pub fn unreported(&mut self) {
+        for team in self.arena.values_mut() {
+            team.holder.unreported();
+        }
+    }
+
     /// Applies grants in answer to a request that was sent at `sent`.
     pub fn granted(&mut self, grants: &[lease::Grant], sent: Instant, now: Instant) {
         for grant in grants {
@@ -115,12 +123,12 @@
                 continue;
             };
             let share = Share {
-                rate_per_second: grant.share.rate,
-                burst: grant.share.burst,
+                rate_per_second: grant.share.rate.into(),
+                burst: grant.share.burst.into(),
             };
             let holder = &mut self.arena[slot].holder;
-            holder.grant(share, grant.tokens, sent, now);
-            holder.draw(grant.drawn, sent, now);
+            holder.grant(share, grant.tokens.into(), sent, now);
+            holder.draw(grant.drawn.into(), sent, now);
             self.schedule(slot);
         }
     }
@@ -174,11 +182,11 @@
     lease::Report {
         team: team.name.clone(),
         held: lease::Share {
-            rate: report.held.rate_per_second,
-            burst: report.held.burst,
+            rate: number::single(report.held.rate_per_second),
+            burst: number::single(report.held.burst),
         },
-        released: report.released,
-        demand: report.demand_per_second,
-        wanted: report.wanted,
+        released: number::single(report.released),
+        demand: number::single(report.demand_per_second),
+        wanted: number::single(report.wanted),
     }
 }
--- a/crates/node/src/lease/service.rs
+++ b/crates/node/src/lease/service.rs
@@ -14,17 +14,14 @@
 /// reported for 250 ms; a team that is new at the node must be reported well
 /// before its first requests have waited for 200 ms.
 const PACE: Duration = Duration::from_millis(50);
-/// Time between two requests while no team's demand changes.
+/// Time between two requests while there is nothing to report.
 const STEADY: Duration = Duration::from_secs(1);
-/// Part of the demand by which it must change for an early request.
-const CHANGE: f64 = 0.25;
 
 struct Lease {
     leader: leader::Leader,
     options: Rc<options::Options>,
     incarnation: incarnation::Incarnation,
     gate: address::Address<gate::message::Message>,
-    last: Vec<lease::Report>,
     sent: Option<Instant>,
 }
 
@@ -41,7 +38,6 @@
         options,
         incarnation,
         gate,
-        last: Vec::new(),
         sent: None,
     };
     let renewing = std::pin::pin!(lease.renew());
@@ -62,20 +58,11 @@
         }
     }
 
+    /// A node without shares reports as well, so that a new owner knows that there
+    /// is nothing to wait for.
     fn is_due(&self, reports: &[lease::Report]) -> bool {
-        // A node without shares reports as well, so that a new owner knows that
-        // there is nothing to wait for.
         let steady = self.sent.is_some_and(|sent| sent.elapsed() < STEADY);
-        !steady || reports.iter().any(|report| self.has_changed(report))
-    }
-
-    fn has_changed(&self, report: &lease::Report) -> bool {
-        let before = self.last.iter().find(|before| before.team == report.team);
-        before.is_none_or(|before| {
-            report.released > 0.0
-                || report.wanted > 0.0
-                || (report.demand - before.demand).abs() > before.demand * CHANGE
-        })
+        !steady || !reports.is_empty()
     }
 
     async fn request(&mut self, reports: Vec<lease::Report>) {
@@ -87,10 +74,10 @@
         let sent = Instant::now();
         self.sent = Some(sent);
         let reply = self.leader.ask(&request, Duration::ZERO).await;
-        if let Ok(lease::Reply::Grants(grants)) = reply {
-            let granted = gate::message::Message::Granted(grants, sent);
-            let _ = self.gate.send(granted).await;
-        }
-        self.last = request.reports;
+        let message = match reply {
+            Ok(lease::Reply::Grants(grants)) => gate::message::Message::Granted(grants, sent),
+            _ => gate::message::Message::Unreported,
+        };
+        let _ = self.gate.send(message).await;
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod estimate;
 pub mod ledger;
 pub mod limit;
-mod number;
+pub mod number;
 pub mod queue;
 pub mod route;
 pub mod share;
--- a/crates/policy/src/number.rs
+++ b/crates/policy/src/number.rs
@@ -9,3 +9,18 @@
 pub fn floor(value: f64) -> u32 {
     value.clamp(0.0, f64::from(u32::MAX)) as u32
 }
+
+/// The largest number in single precision that is not above a number.
+#[must_use]
+#[allow(
+    clippy::cast_possible_truncation,
+    reason = "what rounding adds is taken off again"
+)]
+pub fn single(value: f64) -> f32 {
+    let nearest = value as f32;
+    if f64::from(nearest) > value {
+        nearest.next_down()
+    } else {
+        nearest
+    }
+}
--- a/crates/policy/src/share/account.rs
+++ b/crates/policy/src/share/account.rs
@@ -143,8 +143,8 @@
         self.count(now, node, held.max(share), demand);
         let tokens = self.take_tokens(held, share, demand);
         let wanted = amount(report.wanted) - tokens;
-        let scarce = !self.level.is_within() && !share.is_empty();
-        let drawn = if scarce { 0.0 } else { self.draw(now, wanted) };
+        let draws = self.level.draws() || share.is_empty();
+        let drawn = if draws { self.draw(now, wanted) } else { 0.0 };
         Decision {
             share,
             tokens,
--- a/crates/policy/src/share/holder.rs
+++ b/crates/policy/src/share/holder.rs
@@ -8,6 +8,11 @@
 /// Time for which a share is leased, counted by the node from before it sent
 /// the request that was granted.
 pub const LEASE: Duration = lease::LEASE;
+/// Longest time between two reports on a team, so that its lease does not end.
+pub const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// Age from which on a report is renewed along with others, which costs less than
+/// a message of its own soon after.
+const REPORT_ALONG: Duration = Duration::from_millis(500);
 /// Shortest time between two reports because of changed demand.
 pub const URGENT_INTERVAL: Duration = Duration::from_millis(250);
 /// Part by which demand must grow for an urgent report.
@@ -183,6 +188,11 @@
         }
     }
 
+    /// The owner may not have got the latest report.
+    pub fn unreported(&mut self) {
+        self.reported = None;
+    }
+
     /// From when on the owner should hear of this team before the next regular
     /// report; `None` when it need not.
     #[must_use]
@@ -207,6 +217,17 @@
         self.expires.is_some_and(|at| at > now)
     }
 
+    /// Whether the team is part of the next report to the owner.
+    #[must_use]
+    pub fn is_due(&self, now: Instant) -> bool {
+        if self.is_idle(now) {
+            return false;
+        }
+        let old = |reported: Reported| now >= reported.at + REPORT_ALONG;
+        let urgent = self.urgent_from(now).is_some_and(|from| from <= now);
+        urgent || self.reported.is_none_or(old)
+    }
+
     /// Whether there is nothing to report on the team.
     #[must_use]
     pub fn is_idle(&self, now: Instant) -> bool {
--- a/crates/policy/src/share/level.rs
+++ b/crates/policy/src/share/level.rs
@@ -7,6 +7,12 @@
 const RESERVE: f64 = 0.04;
 /// Largest part that is kept.
 const MOST_RESERVE: f64 = 0.2;
+/// Burst for each holder below which a team is crowded: its holders see so few
+/// requests each that their demand tells little about the next second.
+const CROWDED_BURST: f64 = 8.0;
+/// Part of the limit of a crowded team that is kept. Tokens in shares lie unused
+/// while requests wait at other holders; what is kept goes to those.
+const CROWDED_RESERVE: f64 = 0.5;
 /// Rate for each unit of demand when the limit allows it, so that demand can
 /// grow between two reports.
 const HEADROOM: f64 = 1.25;
@@ -32,8 +38,8 @@
     /// Where there is less than one request of burst for each holder: burst for
     /// each unit of demand.
     scarce_burst: Option<f64>,
-    /// Whether the demand is within the limit.
-    within: bool,
+    /// Whether holders of a share draw tokens for waiting requests as well.
+    draws: bool,
 }
 
 impl Level {
@@ -46,6 +52,8 @@
         let spare = 1.0 - HEADROOM * sum / limit.rate;
         let most = (RESERVE * count).min(MOST_RESERVE);
         let used = 1.0 - spare.clamp(RESERVE, most.max(RESERVE));
+        let crowded = limit.burst < CROWDED_BURST * count;
+        let used = if crowded { 1.0 - CROWDED_RESERVE } else { used };
         let usable = limit.rate * used;
         let usable_burst = limit.burst * used;
         let smallest_burst = (usable_burst / count.max(1.0)).clamp(1.0, SMALLEST_BURST);
@@ -55,15 +63,16 @@
             scale: scale(&wanted, usable),
             smallest_burst,
             divided_burst: (usable_burst - smallest_burst * count).max(0.0),
-            within: sum < usable,
+            draws: crowded || sum < usable,
             scarce_burst: (usable_burst < count).then(|| usable_burst / sum),
         }
     }
 
-    /// Whether the demand is within the limit. Beyond it tokens are divided by
-    /// shares only, because those who ask most often would get most.
-    pub const fn is_within(&self) -> bool {
-        self.within
+    /// Whether holders of a share draw tokens for waiting requests as well. Where a
+    /// few busy holders want more than the limit, tokens are divided by shares only,
+    /// because those who ask most often would get most.
+    pub const fn draws(&self) -> bool {
+        self.draws
     }
 
     /// The share that a holder should have; a bucket for less than one request
--- a/crates/policy/tests/holder.rs
+++ b/crates/policy/tests/holder.rs
@@ -113,13 +113,13 @@
 
 // Guards against shares that live on after the owner has given them to others.
 #[test]
-fn lease_ends_five_seconds_after_the_request_was_sent() {
+fn lease_is_counted_from_when_the_request_was_sent() {
     let sent = Instant::now();
     let mut holder = holder::Holder::new(sent);
-    let arrived = sent + Duration::from_secs(3);
+    let arrived = sent + Duration::from_secs(1);
     holder.grant(share(100.0, 10.0), 10.0, sent, arrived);
 
-    let before = holder.request(1, sent, sent + Duration::from_millis(4999));
+    let before = holder.request(1, sent, sent + Duration::from_millis(2849));
     let after = holder.request(2, sent, sent + holder::LEASE);
 
     assert_eq!(before, decision::Decision::Pass(1));
@@ -234,6 +234,35 @@
     assert!(holder.urgent_from(later).is_some_and(|at| at <= later));
 }
 
+// Guards against reports on every team whenever one of them needs the owner.
+#[test]
+fn team_is_due_when_it_starves_or_its_report_is_old() {
+    let now = Instant::now();
+    let soon = now + Duration::from_millis(100);
+    let mut supplied = granted(100.0, 100.0, 100.0, now);
+    let mut starved = granted(1.0, 1.0, 0.0, now);
+    supplied.report(now);
+    starved.report(now);
+
+    starved.request(1, soon + Duration::from_millis(100), soon);
+
+    assert!(starved.is_due(soon));
+    assert!(!supplied.is_due(soon));
+    assert!(supplied.is_due(now + holder::REPORT_INTERVAL));
+}
+
+// Guards against a lease that ends because one report was lost.
+#[test]
+fn team_is_due_again_when_its_report_is_lost() {
+    let now = Instant::now();
+    let mut holder = granted(100.0, 100.0, 100.0, now);
+    holder.report(now);
+
+    holder.unreported();
+
+    assert!(holder.is_due(now));
+}
+
 // Guards against reports without end on teams that a node no longer serves.
 #[test]
 fn team_without_share_and_demand_is_idle() {
@@ -281,7 +310,7 @@
     let now = Instant::now();
     let mut holder = granted(100.0, 10.0, 10.0, now);
 
-    holder.suspend(Duration::from_secs(4), now);
+    holder.suspend(Duration::from_secs(2), now);
     let still_leased = holder.is_leased(now);
     holder.suspend(Duration::from_secs(1), now);
 
--- /dev/null
+++ b/crates/policy/tests/number.rs
@@ -0,0 +1,15 @@
+//! Conversions of numbers.
+
+use masticarch_policy::number;
+use proptest::prelude::*;
+
+proptest! {
+    // Guards against shares that add up to more than the limit once they are sent.
+    #[test]
+    fn single_precision_never_rounds_up(value in 0.0..1e9_f64) {
+        let single = f64::from(number::single(value));
+
+        prop_assert!(single <= value);
+        prop_assert!(single >= value * (1.0 - 1e-6));
+    }
+}
--- a/crates/wire/src/message/lease.rs
+++ b/crates/wire/src/message/lease.rs
@@ -5,13 +5,14 @@
 use masticarch_model::{incarnation, name};
 use serde::{Deserialize, Serialize};
 
-/// Part of a team's limit.
+/// Part of a team's limit. Single precision halves the reports, which are most of
+/// the control traffic between regions.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Share {
     /// Requests per second.
-    pub rate: f64,
+    pub rate: f32,
     /// Capacity of the local bucket, in requests.
-    pub burst: f64,
+    pub burst: f32,
 }
 
 /// A node's report on one team.
@@ -22,12 +23,12 @@
     /// Share that the node holds and uses from now on.
     pub held: Share,
     /// Tokens released to the owner with this report.
-    pub released: f64,
+    pub released: f32,
     /// Demand measured at the node, in requests per second, refused ones
     /// included.
-    pub demand: f64,
+    pub demand: f32,
     /// Tokens that waiting requests need now, beyond those in the bucket.
-    pub wanted: f64,
+    pub wanted: f32,
 }
 
 /// Sent by a node, one at a time.
@@ -49,10 +50,10 @@
     /// Share that the node may use; a smaller one than held applies at once.
     pub share: Share,
     /// Tokens moved from the owner's pool into the node's bucket.
-    pub tokens: f64,
+    pub tokens: f32,
     /// Whole tokens for waiting requests, to be used within 400 ms of the
     /// request.
-    pub drawn: f64,
+    pub drawn: f32,
 }
 
 /// The owner's answer, given after it has confirmed its leadership.
