Let a new owner of the rates wait for no run that joined in its term

Cause: the owner took every run that joined while it waited for one that may hold a share of an earlier leader.

Change: the log says when the first entry of the member's own term is committed. A run that joins after it was never present under an earlier leader, which grants to present runs only. Two lines in the log of control say when grants stop and resume.

--- a/crates/control/src/agreement/event.rs
+++ b/crates/control/src/agreement/event.rs
@@ -48,4 +48,7 @@
     TakeSnapshot(reply::Reply<Option<Snapshot>>),
     /// Whether this member leads; sent once for each term that it leads.
     Role(Leadership),
+    /// What is committed from here on was proposed by this member while it leads:
+    /// every entry of earlier leaders was sent before.
+    Begun,
 }
--- a/crates/control/src/agreement/service.rs
+++ b/crates/control/src/agreement/service.rs
@@ -65,6 +65,8 @@
     snapshot: Option<oneshot::Receiver<Option<event::Snapshot>>>,
     /// Term of which the owner of the state was told that this member leads.
     leading: Option<term::Term>,
+    /// Term of which the owner of the state was told that it has begun.
+    begun: Option<term::Term>,
     failed: bool,
     /// Dropped when the storage has failed.
     storage: Option<oneshot::Sender<()>>,
@@ -106,6 +108,7 @@
             covered,
             snapshot: None,
             leading: None,
+            begun: None,
             failed: false,
             storage: Some(storage),
             seats: options.seats,
@@ -403,6 +406,10 @@
             }
         };
         self.sent = position.index;
+        if self.leading == Some(position.term) && self.begun != self.leading {
+            self.begun = self.leading;
+            self.tell(event::Event::Begun).await?;
+        }
         self.tell(event).await?;
         self.waiting.committed(position);
         Ok(())
--- a/crates/control/src/allotment/message.rs
+++ b/crates/control/src/allotment/message.rs
@@ -12,6 +12,8 @@
     /// Whether this process leads; each term gets a new owner. The runs of
     /// nodes that may hold shares of earlier owners come with it.
     Role(event::Leadership, map::Set<incarnation::Incarnation>),
+    /// Runs that join from here on were known to no earlier owner.
+    Begun,
     /// A run of a node that may hold shares from now on, and runs that have
     /// ended.
     Holders(
--- a/crates/control/src/allotment/service.rs
+++ b/crates/control/src/allotment/service.rs
@@ -18,6 +18,8 @@
 pub struct Service {
     owner: Option<owner::Owner>,
     limits: Vec<lease::Limit>,
+    /// Whether the owner granted nothing when it was last looked at.
+    closed: bool,
 }
 
 impl Service {
@@ -45,6 +47,11 @@
             message::Message::Role(leadership, holders) => {
                 self.change_role(leadership, holders, now);
             }
+            message::Message::Begun => {
+                if let Some(owner) = &mut self.owner {
+                    owner.begin();
+                }
+            }
             message::Message::Holders(joined, ended) => self.follow(joined, &ended),
             message::Message::Release(silent, reply) => {
                 let owner = self.owner.as_mut();
@@ -55,6 +62,7 @@
             message::Message::Renew(request, reply) => {
                 let owner = self.owner.as_mut();
                 let _ = reply.send(owner.and_then(|owner| owner.renew(now, &request)));
+                self.note(now);
             }
             message::Message::Usage(reply) => {
                 let owner = self.owner.as_ref();
@@ -72,7 +80,7 @@
             return;
         };
         if let Some(holder) = joined {
-            owner.await_holder(holder);
+            owner.joined(holder);
         }
         for holder in ended {
             owner.ended(*holder);
@@ -93,6 +101,23 @@
         if let Some(owner) = &mut self.owner {
             owner.set_limits(now, &self.limits);
         }
+        self.note(now);
+    }
+
+    /// Writes a line when grants stop or resume.
+    fn note(&mut self, now: Instant) {
+        let waiting = self.owner.as_ref().filter(|owner| owner.is_closed(now));
+        if waiting.is_some() == self.closed {
+            return;
+        }
+        self.closed = waiting.is_some();
+        match waiting {
+            Some(owner) => tracing::info!(
+                nodes = owner.awaited(),
+                "no rate is granted until these nodes report"
+            ),
+            None => tracing::info!("rates are granted"),
+        }
     }
 
     fn set_limits(&mut self, limits: Vec<lease::Limit>, now: Instant) {
@@ -106,5 +131,6 @@
         if let Some(owner) = &mut self.owner {
             owner.expire(now);
         }
+        self.note(now);
     }
 }
--- a/crates/control/src/registry/service.rs
+++ b/crates/control/src/registry/service.rs
@@ -75,6 +75,12 @@
             }
             message::Message::Install(snapshot) => self.install(snapshot).await,
             message::Message::Role(leadership) => self.change_role(leadership).await,
+            message::Message::Begun => {
+                let _ = self
+                    .allotment
+                    .send(allotment::message::Message::Begun)
+                    .await;
+            }
             message::Message::Outcome(index, reply) => self.outcomes.answer(index, reply),
             message::Message::Poll(held, reply) => self.polls.add(&self.catalog, held, reply),
             other => self.read(other),
@@ -126,6 +132,7 @@
             | message::Message::Members(..)
             | message::Message::Install(..)
             | message::Message::Role(_)
+            | message::Message::Begun
             | message::Message::Outcome(..)
             | message::Message::Poll(..) => {}
         }
--- a/crates/control/tests/group/mod.rs
+++ b/crates/control/tests/group/mod.rs
@@ -211,6 +211,7 @@
                 let _ = reply.send(Some(snapshot));
             }
             event::Event::Role(leadership) => state.leads = leadership.leads(),
+            event::Event::Begun => {}
         }
     }
 }
--- a/crates/policy/src/share/owner.rs
+++ b/crates/policy/src/share/owner.rs
@@ -38,6 +38,8 @@
     /// this one; once there are none, nothing is left to wait for. `None` when
     /// they are not known.
     awaited: Option<map::Set<incarnation::Incarnation>>,
+    /// Whether runs that join were known to earlier owners.
+    inherits: bool,
     /// Holders that are about to be removed, and until when they get nothing.
     released: map::Map<incarnation::Incarnation, Instant>,
     accounts: SlotMap<AccountKey, account::Account>,
@@ -53,6 +55,7 @@
         Self {
             opened: now + lease::COUNTED,
             awaited: None,
+            inherits: true,
             released: map::Map::default(),
             accounts: SlotMap::with_key(),
             teams: map::Map::default(),
@@ -79,14 +82,19 @@
         }
     }
 
-    /// A holder may have shares of earlier owners as well.
-    pub fn await_holder(&mut self, holder: incarnation::Incarnation) {
+    /// A holder has joined the fleet.
+    pub fn joined(&mut self, holder: incarnation::Incarnation) {
         self.released.remove(&holder);
-        if let Some(awaited) = &mut self.awaited {
+        if let Some(awaited) = self.awaited.as_mut().filter(|_| self.inherits) {
             awaited.insert(holder);
         }
     }
 
+    /// Holders that join from now on were known to no earlier owner.
+    pub fn begin(&mut self) {
+        self.inherits = false;
+    }
+
     /// A holder has ended, and its shares with it.
     pub fn ended(&mut self, holder: incarnation::Incarnation) {
         if let Some(awaited) = &mut self.awaited {
@@ -162,7 +170,7 @@
 
     /// Decides on a holder's reports, with one grant for each. Every holder that
     /// was known when the request was sent must have been named to
-    /// [`Self::awaiting`] or [`Self::await_holder`] before. `None` when the
+    /// [`Self::awaiting`] or [`Self::joined`] before. `None` when the
     /// request came on a connection that the holder has given up.
     pub fn renew(&mut self, now: Instant, request: &lease::Request) -> Option<Vec<lease::Grant>> {
         if !self.is_latest(now, request) {
--- a/crates/policy/tests/share_owner.rs
+++ b/crates/policy/tests/share_owner.rs
@@ -211,7 +211,7 @@
     let (first, late) = (incarnation::Incarnation(1), incarnation::Incarnation(2));
     let mut owner = owner::Owner::awaiting(now, [first].into_iter().collect());
     owner.set_limits(now, &[whole(limit(100.0, 100.0))]);
-    owner.await_holder(late);
+    owner.joined(late);
 
     let before = owner.renew(now, &empty_handed(first)).unwrap();
     let over = now + lease::COUNTED;
@@ -221,6 +221,22 @@
     assert!(after[0].share.rate > 0.0);
 }
 
+// Guards against a fleet that is refused for a whole lease after a restart, because
+// a run that has just joined stops before it reports.
+#[test]
+fn owner_waits_for_no_holder_that_joined_in_its_term() {
+    let now = Instant::now();
+    let (first, new) = (incarnation::Incarnation(1), incarnation::Incarnation(2));
+    let mut owner = owner::Owner::awaiting(now, [first].into_iter().collect());
+    owner.set_limits(now, &[whole(limit(100.0, 100.0))]);
+
+    owner.begin();
+    owner.joined(new);
+    let granted = owner.renew(now, &empty_handed(first)).unwrap();
+
+    assert!(granted[0].share.rate > 0.0);
+}
+
 // Guards against a run that is removed with a share of which a later owner does
 // not know.
 #[test]
@@ -264,7 +280,7 @@
     owner.release(now, vec![holder]);
 
     let before = owner.renew(now, &empty_handed(holder)).unwrap();
-    owner.await_holder(holder);
+    owner.joined(holder);
     let after = owner.renew(now, &empty_handed(holder)).unwrap();
 
     assert_eq!(before, vec![]);
