Ask for tokens as soon as any waiting request needs them

Cause: only the first request that waits for a token was looked at. One behind it, for which the bucket earns no token in time, was reported when it came first, with a few milliseconds left, and was refused.

Change: the last waiting request makes a report urgent as well.

--- a/crates/policy/src/share/bucket.rs
+++ b/crates/policy/src/share/bucket.rs
@@ -86,10 +86,16 @@
 
     /// When the next token is there; `None` when none will be.
     pub fn next_token(&self) -> Option<Instant> {
+        self.nth_token(1.0)
+    }
+
+    /// When this many more tokens have been there, if each is taken at once; `None`
+    /// when they never will be.
+    pub fn nth_token(&self, count: f64) -> Option<Instant> {
         if self.share.rate_per_second <= 0.0 || self.share.burst < 1.0 {
             return None;
         }
-        let missing = (1.0 - self.tokens).max(0.0);
+        let missing = (count - self.tokens).max(0.0);
         let seconds = (missing / self.share.rate_per_second).min(MAX_WAIT_SECONDS);
         Some(self.at + Duration::from_secs_f64(seconds) + ROUNDING)
     }
--- a/crates/policy/src/share/holder.rs
+++ b/crates/policy/src/share/holder.rs
@@ -151,8 +151,7 @@
 
     /// Tokens that the waiting requests lack.
     fn missing(&self) -> f64 {
-        let waiting = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX);
-        (f64::from(waiting) - self.bucket.tokens().floor()).max(0.0)
+        (self.count() - self.bucket.tokens().floor()).max(0.0)
     }
 
     fn take_drawn(&mut self) -> bool {
@@ -236,13 +235,20 @@
         unused && !holds && self.waiting.is_empty()
     }
 
-    /// Whether the next waiting request cannot get a token in time.
+    /// Whether the first or the last waiting request cannot get a token in time.
     fn is_starved(&self) -> bool {
-        let Some(waiter) = self.waiting.front() else {
-            return false;
-        };
-        let token = self.bucket.next_token();
-        token.is_none_or(|token| token > waiter.until)
+        let ends = [self.waiting.front(), self.waiting.back()];
+        let needs = [1.0, self.count()];
+        let mut waiters = ends.into_iter().flatten().zip(needs);
+        waiters.any(|(waiter, need)| {
+            let token = self.bucket.nth_token(need);
+            token.is_none_or(|token| token > waiter.until)
+        })
+    }
+
+    /// Number of waiting requests.
+    fn count(&self) -> f64 {
+        f64::from(u32::try_from(self.waiting.len()).unwrap_or(u32::MAX))
     }
 
     /// Earns tokens, and drops a share whose lease has ended.
--- a/crates/policy/tests/holder.rs
+++ b/crates/policy/tests/holder.rs
@@ -234,6 +234,24 @@
     assert!(holder.urgent_from(later).is_some_and(|at| at <= later));
 }
 
+// Guards against a request that learns only when it is first in line that no token
+// will come in time.
+#[test]
+fn starvation_behind_a_supplied_request_is_urgent() {
+    let now = Instant::now();
+    let until = now + Duration::from_millis(200);
+    let mut holder = granted(10.0, 10.0, 0.0, now);
+    holder.report(now);
+
+    holder.request(1, until, now);
+    let supplied = holder.urgent_from(now);
+    holder.request(2, until, now);
+    holder.request(3, until, now);
+
+    assert_eq!(supplied, None);
+    assert_eq!(holder.urgent_from(now), Some(now));
+}
+
 // Guards against reports on every team whenever one of them needs the owner.
 #[test]
 fn team_is_due_when_it_starves_or_its_report_is_old() {
