Split the requests in flight from the gate's state; hear each report once

The attempts and the targets now belong to gate::attempts. The owner of the rates counted each report twice, and the token of an authorization header was read by two copies of one function.

--- a/crates/control/src/allotment/service.rs
+++ b/crates/control/src/allotment/service.rs
@@ -111,12 +111,11 @@
             return;
         }
         self.closed = waiting.is_some();
-        match waiting {
-            Some(owner) => tracing::info!(
-                nodes = owner.awaited(),
-                "no rate is granted until these nodes report"
-            ),
-            None => tracing::info!("rates are granted"),
+        if let Some(owner) = waiting {
+            let nodes = owner.awaited();
+            tracing::info!(nodes, "no rate is granted until these nodes report");
+        } else {
+            tracing::info!("rates are granted");
         }
     }
 
--- a/crates/node/src/front/native.rs
+++ b/crates/node/src/front/native.rs
@@ -114,14 +114,7 @@
 }
 
 fn key(headers: &HeaderMap) -> Option<&str> {
-    fields::text(headers, names::KEY).or_else(|| bearer(headers))
-}
-
-fn bearer(headers: &HeaderMap) -> Option<&str> {
-    let (scheme, token) = fields::text(headers, "authorization")?.split_once(' ')?;
-    scheme
-        .eq_ignore_ascii_case("bearer")
-        .then_some(token.trim())
+    fields::text(headers, names::KEY).or_else(|| fields::bearer(headers))
 }
 
 fn text_id(headers: &HeaderMap, name: &str) -> Result<Option<Box<str>>, refusal::Refusal> {
@@ -144,7 +137,7 @@
 fn strip(headers: &mut HeaderMap) {
     fields::strip_hop_by_hop(headers);
     // The bearer token may be a key, and no target may see one.
-    if bearer(headers).is_some() {
+    if fields::bearer(headers).is_some() {
         headers.remove(header::AUTHORIZATION);
     }
     fields::strip_internal(headers);
--- a/crates/node/src/gate/mod.rs
+++ b/crates/node/src/gate/mod.rs
@@ -2,6 +2,7 @@
 //! choice of a target and retries.
 
 pub mod admission;
+mod attempts;
 mod authority;
 pub mod choice;
 mod denial;
--- a/crates/policy/src/number.rs
+++ b/crates/policy/src/number.rs
@@ -1,6 +1,7 @@
 //! Conversions between counts and real numbers.
 
 /// The whole part of a count, between 0 and `u32::MAX`.
+#[must_use]
 #[allow(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
--- a/crates/policy/src/share/account.rs
+++ b/crates/policy/src/share/account.rs
@@ -126,8 +126,9 @@
         holding.is_some_and(|holding| !holding.counted.is_empty() && holding.expires > now)
     }
 
-    /// Decides on a holder's report. Before `opened`, shares granted by an
-    /// earlier owner may be in use unreported, so that nothing new is granted.
+    /// Decides on a holder's report, which must have been heard at this moment.
+    /// Before `opened`, shares granted by an earlier owner may be in use
+    /// unreported, so that nothing new is granted.
     pub fn renew(
         &mut self,
         now: Instant,
@@ -135,7 +136,7 @@
         report: &lease::Report,
         opened: Instant,
     ) -> Decision {
-        let (held, demand) = self.hear(now, node, report, opened);
+        let (held, demand) = (held(report), amount(report.demand));
         self.pool += amount(report.released);
         self.trim_pool();
         self.update_level(now);
@@ -143,8 +144,12 @@
         self.count(now, node, held.max(share), demand);
         let tokens = self.take_tokens(held, share, demand);
         let wanted = amount(report.wanted) - tokens;
-        let draws = self.level.draws() || share.is_empty();
-        let drawn = if draws { self.draw(now, wanted) } else { 0.0 };
+        let may_draw = self.level.draws() || share.is_empty();
+        let drawn = if may_draw {
+            self.draw(now, wanted)
+        } else {
+            0.0
+        };
         Decision {
             share,
             tokens,
@@ -152,22 +157,16 @@
         }
     }
 
-    /// Counts what a holder reports to hold, and returns it with its demand.
+    /// Counts what a holder reports to hold.
     pub fn hear(
         &mut self,
         now: Instant,
         node: incarnation::Incarnation,
         report: &lease::Report,
         opened: Instant,
-    ) -> (lease::Share, f64) {
+    ) {
         self.fill(now, opened);
-        let held = lease::Share {
-            rate: amount(report.held.rate),
-            burst: amount(report.held.burst),
-        };
-        let demand = amount(report.demand);
-        self.count(now, node, held, demand);
-        (held, demand)
+        self.count(now, node, held(report), amount(report.demand));
     }
 
     /// The share for a holder that is counted with `held`.
@@ -283,6 +282,14 @@
     if sum > limit { limit / sum } else { 1.0 }
 }
 
+/// The share that a holder reports to use.
+const fn held(report: &lease::Report) -> lease::Share {
+    lease::Share {
+        rate: amount(report.held.rate),
+        burst: amount(report.held.burst),
+    }
+}
+
 /// A reported amount; anything that is not a number counts as nothing.
 const fn amount(value: f64) -> f64 {
     if value.is_finite() {
--- a/crates/wire/src/http/fields.rs
+++ b/crates/wire/src/http/fields.rs
@@ -53,6 +53,15 @@
     headers.get(name)?.to_str().ok()
 }
 
+/// The token of a request's `authorization` header, of the scheme `Bearer`.
+#[must_use]
+pub fn bearer(headers: &HeaderMap) -> Option<&str> {
+    let (scheme, token) = text(headers, header::AUTHORIZATION.as_str())?.split_once(' ')?;
+    scheme
+        .eq_ignore_ascii_case("bearer")
+        .then_some(token.trim())
+}
+
 /// The host of a request in lower case, without its port.
 #[must_use]
 pub fn host(headers: &HeaderMap) -> Option<Box<str>> {
