--- a/crates/daemon/tests/log.rs
+++ b/crates/daemon/tests/log.rs
@@ -1,22 +1,36 @@
 //! Logs on standard output.
 
 use std::fs;
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// Capacity of a pipe.
+const PIPE_BYTES: usize = 64 << 10;
 
 /// A control process that founds a group of its own, and its folder.
 fn daemon() -> (tempfile::TempDir, Child) {
+    daemon_with(TcpListener::bind("127.0.0.1:0").unwrap(), Stdio::piped())
+}
+
+/// The same with its admin port at the address of a listener, which is closed.
+fn daemon_with(admin: TcpListener, output: Stdio) -> (tempfile::TempDir, Child) {
+    let address = admin.local_addr().unwrap();
+    drop(admin);
     let folder = tempfile::tempdir().unwrap();
     fs::write(folder.path().join("fleet.secret"), "0123456789abcdef0123").unwrap();
     let settings = folder.path().join("control.yaml");
-    let text = "id: 1\nmember: 127.0.0.1:0\noperator: 127.0.0.1:0\nadmin: 127.0.0.1:0\n\
-                data: data\nnew: true\nmembers: [{ id: 1, address: 127.0.0.1:1 }]\n\
-                secret_file: fleet.secret\noperators: []\n";
+    let text = format!(
+        "id: 1\nmember: 127.0.0.1:0\noperator: 127.0.0.1:0\nadmin: {address}\n\
+         data: data\nnew: true\nmembers: [{{ id: 1, address: 127.0.0.1:1 }}]\n\
+         secret_file: fleet.secret\noperators: []\n"
+    );
     fs::write(&settings, text).unwrap();
     let child = Command::new(env!("CARGO_BIN_EXE_masticarchd"))
         .args(["control", "--settings"])
         .arg(&settings)
-        .stdout(Stdio::piped())
+        .stdout(output)
         .spawn()
         .unwrap();
     (folder, child)
@@ -56,3 +70,39 @@
     daemon.kill().unwrap();
     daemon.wait().unwrap();
 }
+
+/// The status line of the metrics; waits until the port is open.
+fn metrics(address: SocketAddr) -> Option<String> {
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_secs(5) {
+        let Ok(mut stream) = TcpStream::connect(address) else {
+            std::thread::sleep(Duration::from_millis(20));
+            continue;
+        };
+        stream
+            .set_read_timeout(Some(Duration::from_secs(5)))
+            .unwrap();
+        let request = b"GET /metrics HTTP/1.1\r\nhost: control\r\nconnection: close\r\n\r\n";
+        stream.write_all(request).unwrap();
+        let mut answer = [0; 12];
+        stream.read_exact(&mut answer).ok()?;
+        return String::from_utf8(answer.to_vec()).ok();
+    }
+    None
+}
+
+// Guards against a process that stands still because nobody reads its log.
+#[test]
+fn full_pipe_stops_no_request() {
+    let (_reader, mut writer) = std::io::pipe().unwrap();
+    writer.write_all(&vec![b'\n'; PIPE_BYTES]).unwrap();
+    let admin = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = admin.local_addr().unwrap();
+
+    let (_folder, mut daemon) = daemon_with(admin, writer.into());
+    let answer = metrics(address);
+
+    daemon.kill().unwrap();
+    daemon.wait().unwrap();
+    assert_eq!(answer.as_deref(), Some("HTTP/1.1 200"));
+}
--- a/crates/node/src/caller/handler.rs
+++ b/crates/node/src/caller/handler.rs
@@ -117,6 +117,8 @@
                 reason = refusal.code.reason(),
                 ran = refusal.ran.as_str(),
                 detail = %refusal.detail,
+                team = refusal.team.as_deref(),
+                node = refusal.node.as_deref(),
                 in_flight = self.services.activity.count(),
                 "request refused"
             );
@@ -172,18 +174,14 @@
             if is_final(&outcome, admission) {
                 settle(hold, &outcome);
                 flight.end(Some(report));
-                return outcome
-                    .result
-                    .map(|answer| complete::<F>(answer, admission));
+                return ended_at::<F>(outcome, admission, &choice);
             }
             // The gate has the report of this attempt from here on.
             flight.reported();
             let Some(next) = self.next(admission, report).await else {
                 settle(hold, &outcome);
                 flight.end(None);
-                return outcome
-                    .result
-                    .map(|answer| complete::<F>(answer, admission));
+                return ended_at::<F>(outcome, admission, &choice);
             };
             choice = next;
         }
@@ -256,6 +254,21 @@
     }
 }
 
+/// The answer to the caller, or a refusal that names the node of the attempt.
+fn ended_at<F: Front>(
+    outcome: job::Outcome,
+    admission: &admission::Admission,
+    choice: &choice::Choice,
+) -> Result<answer::Answer, refusal::Refusal> {
+    match outcome.result {
+        Ok(answer) => Ok(complete::<F>(answer, admission)),
+        Err(refusal) => Err(refusal::Refusal {
+            node: Some(choice.node.clone()),
+            ..refusal
+        }),
+    }
+}
+
 fn complete<F: Front>(
     mut answer: answer::Answer,
     admission: &admission::Admission,
--- a/crates/node/src/gate/denial.rs
+++ b/crates/node/src/gate/denial.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use masticarch_model::code;
+use masticarch_model::{code, name};
 
 use crate::gate::pending;
 use crate::refusal;
@@ -13,12 +13,18 @@
 
 /// Refuses a request. The asker may have gone away.
 pub fn send(reply: pending::Reply, code: code::Code) {
+    send_for(reply, code, None);
+}
+
+/// Refuses a request of a team.
+pub fn send_for(reply: pending::Reply, code: code::Code, team: Option<name::Name>) {
     let mut refusal = refusal::Refusal::new(code, detail(code));
     let passes = matches!(
         code,
         code::Code::OverRate | code::Code::Overloaded | code::Code::NotCurrent
     );
     refusal.retry_after = passes.then_some(RETRY_AFTER);
+    refusal.team = team;
     let _ = reply.send(Err(refusal));
 }
 
--- a/crates/node/src/gate/state.rs
+++ b/crates/node/src/gate/state.rs
@@ -233,7 +233,7 @@
             decision::Decision::Wait => {}
             decision::Decision::Refuse(pending) => {
                 let code = self.rate_denial(&pending, now);
-                denial::send(pending.reply, code);
+                denial::send_for(pending.reply, code, pending.team);
             }
         }
     }
--- a/crates/node/src/refusal.rs
+++ b/crates/node/src/refusal.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use masticarch_model::{code, ran};
+use masticarch_model::{code, name, ran};
 use masticarch_wire::http::connection;
 
 /// Why a request is not answered by a target.
@@ -17,6 +17,10 @@
     pub detail: Box<str>,
     /// When another try may succeed.
     pub retry_after: Option<Duration>,
+    /// Team whose rate it concerns; for the log only.
+    pub team: Option<name::Name>,
+    /// Node of the last attempt; for the log only.
+    pub node: Option<name::Name>,
 }
 
 impl Refusal {
@@ -28,6 +32,8 @@
             ran: code.ran(),
             detail: detail.into(),
             retry_after: None,
+            team: None,
+            node: None,
         }
     }
 
--- a/crates/node/tests/gate.rs
+++ b/crates/node/tests/gate.rs
@@ -106,7 +106,9 @@
 
     assert_eq!(reported.len(), 1);
     assert!(first.is_ok());
-    assert_eq!(code_of(second), Some(code::Code::OverRate));
+    let refusal = second.unwrap_err();
+    assert_eq!(refusal.code, code::Code::OverRate);
+    assert_eq!(refusal.team, Some("team-1".into()));
 }
 
 // Guards against a team that is told to be over its rate by a node that does not
