Log and count what targets state about themselves

The node now reads the two statements of a target (rate limit and leaving) through the protocol trait, writes a line when they change, and exposes the limit and the permits as metrics. No decision depends on them yet.

--- a/crates/node/src/admission/local.rs
+++ b/crates/node/src/admission/local.rs
@@ -12,6 +12,7 @@
 use slotmap::new_key_type;
 
 use crate::admission::{message, summary, waiter};
+use crate::protocol::notice;
 
 new_key_type! {
     /// Key of a target beside this node.
@@ -37,6 +38,7 @@
     level: level::Level,
     service_time: ewma::Ewma,
     in_flight: u32,
+    notice: notice::Notice,
 }
 
 impl<L: Limiter> Target<L> {
@@ -57,6 +59,7 @@
             level: level::Level::new(queue_limit, now),
             service_time: ewma::Ewma::default(),
             in_flight: 0,
+            notice: notice::Notice::default(),
         }
     }
 
@@ -125,6 +128,14 @@
         self.in_flight = self.in_flight.saturating_sub(1);
     }
 
+    /// Records what the target states in an answer; returns whether it stated something
+    /// else before.
+    pub fn observe(&mut self, notice: notice::Notice) -> bool {
+        let changed = self.notice != notice;
+        self.notice = notice;
+        changed
+    }
+
     /// When the next queued request expires.
     pub fn next_expiry(&self) -> Option<Instant> {
         self.queue.next_expiry()
--- a/crates/node/src/admission/message.rs
+++ b/crates/node/src/admission/message.rs
@@ -7,6 +7,7 @@
 use masticarch_model::target;
 
 use crate::admission::{entry, key, permit, summary};
+use crate::protocol::notice;
 use crate::{origin, refusal};
 
 /// How a call ended at the target.
@@ -35,8 +36,14 @@
         reply::Reply<Result<permit::Permit, Denial>>,
     ),
     /// Ends a running call and releases its permit; replies with the summary for the
-    /// entry node.
-    Release(key::CallKey, End, reply::Reply<summary::Summary>),
+    /// entry node. The notice is what the target stated in its answer; `None` without
+    /// an answer.
+    Release(
+        key::CallKey,
+        End,
+        Option<notice::Notice>,
+        reply::Reply<summary::Summary>,
+    ),
     /// Begins a sub-call of the running call that a context handle names. Lends it
     /// retry credit and replies with what it inherits; `None` when no such call runs.
     BeginSubCall(Box<str>, reply::Reply<Option<origin::Parent>>),
--- a/crates/node/src/admission/state.rs
+++ b/crates/node/src/admission/state.rs
@@ -14,6 +14,7 @@
 use crate::admission::{
     call, context, counters, entry, key, local, message, permit, summary, waiter,
 };
+use crate::protocol::notice;
 use crate::{origin, refusal};
 
 /// Time between two searches for calls that nobody ended.
@@ -59,7 +60,12 @@
     pub fn handle(&mut self, message: message::Message, now: Instant) {
         match message {
             message::Message::Acquire(entry, reply) => self.acquire(entry, reply, now),
-            message::Message::Release(key, end, reply) => self.release(key, end, reply, now),
+            message::Message::Release(key, end, notice, reply) => {
+                if let Some(notice) = notice {
+                    self.observe(key, notice);
+                }
+                self.release(key, end, reply, now);
+            }
             message::Message::BeginSubCall(text, reply) => {
                 let parent = self.begin_sub_call(&text);
                 if let Err(Some(parent)) = reply.send(parent) {
@@ -172,6 +178,9 @@
         };
         if waiter.reply.send(Ok(permit)).is_err() {
             self.end(key, message::End::NotRun, now);
+        } else {
+            let service = &self.targets[local].announced.service;
+            self.counters.permitted(service);
         }
     }
 
@@ -200,6 +209,20 @@
         self.dispatch(call.local, now);
     }
 
+    /// Records what the target of a running call states in its answer.
+    fn observe(&mut self, key: key::CallKey, notice: notice::Notice) {
+        let call = self.calls.get(key);
+        let Some(local) = call.and_then(|call| self.targets.get_mut(call.local)) else {
+            return;
+        };
+        if local.observe(notice) {
+            let service = &local.announced.service;
+            let permits = self.counters.permits(service);
+            tracing::info!(%service, ?notice, permits, "target states another condition");
+            self.counters.stated(service, notice.rate_limit);
+        }
+    }
+
     /// Removes a call, which cancels its sub-calls.
     fn end(&mut self, key: key::CallKey, end: message::End, now: Instant) -> Option<call::Call> {
         let call = self.calls.remove(key)?;
--- a/crates/node/src/protocol/mod.rs
+++ b/crates/node/src/protocol/mod.rs
@@ -5,6 +5,7 @@
 pub mod delivery;
 pub mod metadata;
 pub mod native;
+pub mod notice;
 
 use masticarch_policy::limit;
 use masticarch_wire::http::{answer, request};
@@ -37,4 +38,7 @@
 
     /// Classifies the answer of a target to a request.
     fn classify(request: &request::Request, answer: &answer::Answer) -> class::Class;
+
+    /// Reads what a target states about itself in its answer.
+    fn notice(answer: &answer::Answer) -> notice::Notice;
 }
--- a/crates/node/src/protocol/native.rs
+++ b/crates/node/src/protocol/native.rs
@@ -8,7 +8,7 @@
 use masticarch_wire::header as names;
 use masticarch_wire::http::{answer, fields, request};
 
-use super::{Protocol, class, delivery, metadata};
+use super::{Protocol, class, delivery, metadata, notice};
 use crate::admission::message as admission;
 use crate::caller::encode;
 use crate::gate::request as gate;
@@ -55,6 +55,14 @@
     fn classify(_: &request::Request, _: &answer::Answer) -> class::Class {
         class::Class::Ran
     }
+
+    fn notice(answer: &answer::Answer) -> notice::Notice {
+        let rate_limit = fields::text(&answer.headers, names::RATE_LIMIT);
+        notice::Notice {
+            rate_limit: notice::RateLimit::read(rate_limit),
+            leaving: fields::text(&answer.headers, names::LEAVING) == Some("1"),
+        }
+    }
 }
 
 async fn read(
--- a/crates/node/src/target/guard.rs
+++ b/crates/node/src/target/guard.rs
@@ -7,6 +7,7 @@
 use crate::admission::message::{End, Message};
 use crate::admission::{key, summary};
 use crate::name;
+use crate::protocol::notice;
 
 /// Releases a running call exactly once: by [`Self::end`], or as cancelled when the
 /// guard is dropped with its task because the caller disconnected or the deadline
@@ -16,6 +17,7 @@
     key: Option<key::CallKey>,
     started: Instant,
     sent: bool,
+    notice: Option<notice::Notice>,
 }
 
 impl Guard {
@@ -27,6 +29,7 @@
             key: Some(key),
             started: Instant::now(),
             sent: false,
+            notice: None,
         }
     }
 
@@ -37,11 +40,16 @@
         self.started = Instant::now();
     }
 
+    /// Records what the target states in its answer.
+    pub fn record_notice(&mut self, notice: notice::Notice) {
+        self.notice = Some(notice);
+    }
+
     /// Ends the call and returns the summary for the entry node; `None` when admission
     /// has stopped.
     pub async fn end(mut self, end: End) -> Option<summary::Summary> {
         let key = self.key.take()?;
-        let release = |reply| Message::Release(key, end, reply);
+        let release = |reply| Message::Release(key, end, self.notice, reply);
         self.admission.ask(release).await.ok()
     }
 
@@ -76,7 +84,7 @@
     fn drop(&mut self) {
         let Some(key) = self.key.take() else { return };
         let (reply, _) = reply::Reply::new();
-        let message = Message::Release(key, self.cancelled(), reply);
+        let message = Message::Release(key, self.cancelled(), self.notice, reply);
         let admission = self.admission.clone();
         drop(task::spawn(name::TARGET, async move {
             let _ = admission.send(message).await;
--- a/crates/node/src/target/run.rs
+++ b/crates/node/src/target/run.rs
@@ -85,6 +85,9 @@
         answer = matching_answer::<P>(services, &mut connection, job).await?;
         class = P::classify(&job.request, &answer);
     }
+    if class != class::Class::Mismatched {
+        guard.record_notice(P::notice(&answer));
+    }
     if answer.keep_alive {
         slot.connection = Some(connection);
         slot.expires = fields::idle_timeout(&answer.headers).map(|timeout| {
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -37,6 +37,11 @@
 pub const OVERLOAD: &str = "masticarch-overload";
 /// Admission limit and requests in flight of a target, as `limit/in-flight`.
 pub const LIMIT: &str = "masticarch-limit";
+/// Requests per second that a target takes from the whole fleet. Stated by targets in
+/// their answers, and passed on between nodes.
+pub const RATE_LIMIT: &str = "masticarch-rate-limit";
+/// From a target: `1` when it is leaving.
+pub const LEAVING: &str = "masticarch-leaving";
 /// Number of a result code.
 pub const CODE: &str = "masticarch-code";
 /// Reason of a result code, in `snake_case`.
