--- a/crates/node/tests/common/fleet.rs
+++ b/crates/node/tests/common/fleet.rs
@@ -111,11 +111,23 @@
 
     /// Announces a target, and renews the announcement while the node lives.
     pub fn announce(&self, target: &target::Target, connections: u32) {
-        self.announce_once(target, connections);
-        let (admin, target) = (self.admin, target.clone());
+        self.announce_body(announcement(target, 8, connections, ""));
+    }
+
+    /// Announces an instance of a target with many slots, which started at
+    /// `started_ms`, and renews the announcement while the node lives.
+    pub fn announce_instance(&self, target: &target::Target, started_ms: u64) {
+        let instance =
+            format!(r#","instance":{{"id":"i-1","started_ms":{started_ms},"sequence":1}}"#);
+        self.announce_body(announcement(target, 400, 400, &instance));
+    }
+
+    fn announce_body(&self, body: String) {
+        assert!(announce(self.admin, &body));
+        let admin = self.admin;
         let alive = Arc::downgrade(&self.alive);
         thread::spawn(move || {
-            while alive.upgrade().is_some() && announce(admin, &target, connections) {
+            while alive.upgrade().is_some() && announce(admin, &body) {
                 thread::sleep(RENEWAL_INTERVAL);
             }
         });
@@ -123,7 +135,10 @@
 
     /// Announces a target without renewing the announcement.
     pub fn announce_once(&self, target: &target::Target, connections: u32) {
-        assert!(announce(self.admin, target, connections));
+        assert!(announce(
+            self.admin,
+            &announcement(target, 8, connections, "")
+        ));
     }
 
     /// Waits until the node has a copy of the published state, and then long enough for
@@ -138,12 +153,16 @@
     }
 }
 
-/// Sends one announcement; returns whether it was accepted.
-fn announce(admin: SocketAddr, target: &target::Target, connections: u32) -> bool {
-    let body = format!(
-        r#"{{"address":"{}","slots":8,"connections":{connections},"state":"serving"}}"#,
+/// Body of an announcement; `more` has further fields.
+fn announcement(target: &target::Target, slots: u32, connections: u32, more: &str) -> String {
+    format!(
+        r#"{{"address":"{}","slots":{slots},"connections":{connections},"state":"serving"{more}}}"#,
         target.address
-    );
+    )
+}
+
+/// Sends one announcement; returns whether it was accepted.
+fn announce(admin: SocketAddr, body: &str) -> bool {
     let length = body.len();
     let request = format!(
         "PUT /targets/service HTTP/1.1\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n{body}"
--- /dev/null
+++ b/crates/node/tests/notices.rs
@@ -0,0 +1,150 @@
+//! What targets state about themselves in their answers.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use common::{client, fleet, target};
+
+const LIMITED: &str =
+    "HTTP/1.1 200 OK\r\nmasticarch-rate-limit: 10\r\ncontent-length: 5\r\n\r\nhello";
+const LEAVING: &str = "HTTP/1.1 200 OK\r\nmasticarch-leaving: 1\r\ncontent-length: 5\r\n\r\nhello";
+const RATE_LIMIT: f64 = 10.0;
+
+/// A node without a target, and one beside an instance that started at 1 ms.
+fn pair(script: target::Script) -> (SocketAddr, fleet::Node, fleet::Node, target::Target) {
+    let control = fleet::control();
+    let near = fleet::node("near", control);
+    let far = fleet::node("far", control);
+    let target = target::start(script);
+    far.announce_instance(&target, 1);
+    near.wait_for_target();
+    (control, near, far, target)
+}
+
+/// Stops the node `far` and starts it again beside the same target.
+fn restart(control: SocketAddr, mut far: fleet::Node, target: &target::Target) -> fleet::Node {
+    far.stop();
+    far.join();
+    let far = fleet::node("far", control);
+    far.announce_instance(target, 1);
+    thread::sleep(Duration::from_millis(300));
+    far
+}
+
+/// Sends requests on `clients` threads, each for this long, and returns how many the
+/// target has received since then and in which time.
+fn load(
+    node: &fleet::Node,
+    target: &target::Target,
+    clients: usize,
+    time: Duration,
+) -> (f64, Duration) {
+    let before = target.requests.load(Ordering::SeqCst);
+    let begun = Instant::now();
+    let caller = node.caller;
+    let threads: Vec<_> = (0..clients)
+        .map(|_| {
+            thread::spawn(move || {
+                while begun.elapsed() < time {
+                    client::exchange(caller, &client::get("/guiones", ""));
+                }
+            })
+        })
+        .collect();
+    for thread in threads {
+        thread.join().unwrap();
+    }
+    let received = target.requests.load(Ordering::SeqCst) - before;
+    (f64::from(u32::try_from(received).unwrap()), begun.elapsed())
+}
+
+/// Most requests that a target with [`RATE_LIMIT`] may get in this time.
+fn allowed(time: Duration) -> f64 {
+    1.5 * RATE_LIMIT * time.as_secs_f64() + 5.0
+}
+
+// Guards against a target that gets more requests than the rate limit it states.
+#[test]
+fn stated_rate_limit_holds_over_all_nodes() {
+    let (_, near, far, target) = pair(target::answering(LIMITED));
+    client::exchange(near.caller, &client::get("/guiones", ""));
+
+    let beside = thread::spawn({
+        let target = target.clone();
+        move || load(&far, &target, 4, Duration::from_secs(2))
+    });
+    load(&near, &target, 4, Duration::from_secs(2));
+    let (received, time) = beside.join().unwrap();
+
+    assert!(received <= allowed(time), "{received} in {time:?}");
+    assert!(received >= RATE_LIMIT, "{received} in {time:?}");
+}
+
+// Guards against a rate limit that is forgotten when the node beside the target restarts.
+#[test]
+fn stated_rate_limit_holds_after_a_restart_of_the_targets_node() {
+    let (control, near, far, target) = pair(target::Script {
+        delay: Duration::from_millis(300),
+        ..target::answering(LIMITED)
+    });
+    client::exchange(near.caller, &client::get("/guiones", ""));
+    let _far = restart(control, far, &target);
+
+    let (received, time) = load(&near, &target, 60, Duration::from_millis(500));
+
+    assert!(received <= allowed(time), "{received} in {time:?}");
+    assert!(received >= 1.0, "{received} in {time:?}");
+}
+
+// Guards against new requests at a target that states that it is leaving, while its
+// announcements still say that it serves.
+#[test]
+fn target_that_states_its_leaving_gets_nothing_new() {
+    let (_, near, far, target) = pair(target::answering(LEAVING));
+    client::exchange(near.caller, &client::get("/guiones", ""));
+
+    let answers = [&near, &far].map(|node| {
+        let request = client::get("/guiones", "");
+        client::exchange(node.caller, &request)
+    });
+
+    assert_eq!(target.requests.load(Ordering::SeqCst), 1);
+    for answer in answers {
+        assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+        assert!(answer.contains("masticarch-ran: no"), "{answer}");
+    }
+}
+
+// Guards against new requests at a leaving target once its node has restarted and knows
+// the target only by announcements that say that it serves.
+#[test]
+fn leaving_target_gets_nothing_new_after_a_restart_of_its_node() {
+    let (control, near, far, target) = pair(target::answering(LEAVING));
+    client::exchange(near.caller, &client::get("/guiones", ""));
+    let _far = restart(control, far, &target);
+
+    let answer = client::exchange(near.caller, &client::get("/guiones", ""));
+
+    assert_eq!(target.requests.load(Ordering::SeqCst), 1);
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+}
+
+// Guards against an instance that gets nothing because an earlier one with the same id
+// was leaving.
+#[test]
+fn successor_of_a_leaving_instance_is_used() {
+    let (_, near, far, target) = pair(target::answering(LEAVING));
+    client::exchange(near.caller, &client::get("/guiones", ""));
+    let successor = target::start(target::answering("HTTP/1.1 204 No Content\r\n\r\n"));
+    far.announce_instance(&successor, 2);
+    thread::sleep(Duration::from_millis(300));
+
+    let answer = client::exchange(near.caller, &client::get("/guiones", ""));
+
+    assert_eq!(target.requests.load(Ordering::SeqCst), 1);
+    assert!(answer.starts_with("HTTP/1.1 204 "), "{answer}");
+}
