Hold a target to the rate limit that it states

What callers and targets saw: a target short of capacity stated in its answers how many requests a second it takes, and got as many as before (34.8 a second before the statement, 37.4 after it, with a limit of 17.4).

Cause: the node beside a target knew two limits, announced slots and announced connections, both of concurrency. Nothing read a statement in an answer.

Change: admission beside the target, which all requests to it pass, keeps a token bucket at the stated rate. It starts empty, its queue holds no more than the rate lets pass in the longest wait, and a target without a token is reported as full, so that entry nodes choose others. A limit ends with an answer without one, to a request sent after the last statement: answers on different connections overtake each other.

--- a/crates/node/src/admission/local.rs
+++ b/crates/node/src/admission/local.rs
@@ -5,7 +5,7 @@
 
 use masticarch_model::target;
 use masticarch_policy::credit::outcome;
-use masticarch_policy::limit::{Limiter, sample};
+use masticarch_policy::limit::{Limiter, rate, sample};
 use masticarch_policy::queue::{bounded, bounds, dequeued, descriptor, push};
 use masticarch_policy::shed::level;
 use masticarch_policy::{ewma, queue};
@@ -24,8 +24,8 @@
 /// Largest bound on queue entries; it bounds memory when the estimates are wrong.
 const MAX_QUEUE_ENTRIES: u32 = 10_000;
 
-/// A target beside this node, with its concurrency limiter `L`, its queue and its level
-/// of load shedding.
+/// A target beside this node, with its concurrency limiter `L`, its rate limit, its queue
+/// and its level of load shedding.
 #[derive(Debug)]
 pub struct Target<L> {
     /// The target as it was last announced.
@@ -33,6 +33,7 @@
     /// Address at which the target listens.
     pub address: SocketAddr,
     limiter: L,
+    rate: rate::Rate,
     queue: bounded::Queue<waiter::Waiter>,
     queue_limit: Duration,
     level: level::Level,
@@ -54,6 +55,7 @@
             limiter: L::new(announced.slots, announced.connections),
             announced,
             address,
+            rate: rate::Rate::new(now),
             queue: bounded::Queue::default(),
             queue_limit,
             level: level::Level::new(queue_limit, now),
@@ -96,15 +98,16 @@
         Some(dequeued.item)
     }
 
-    /// Removes the next request to run, if the concurrency limit allows one.
+    /// Removes the next request to run, if the concurrency and the rate limit allow one.
     pub fn pop(&mut self, now: Instant) -> Option<waiter::Waiter> {
-        while self.in_flight < self.limiter.current() {
+        while self.in_flight < self.limiter.current() && self.rate.is_ready(now) {
             let dequeued::Dequeued { item, waited, .. } = self.queue.pop(now)?;
             if item.reply.is_canceled() {
                 continue;
             }
             self.level.record_wait(waited, now);
             self.in_flight += 1;
+            self.rate.take(now);
             return Some(item);
         }
         None
@@ -117,7 +120,10 @@
             message::End::Failed(time) | message::End::Cancelled(time) => {
                 Some(sample::Sample::AtLeast(time))
             }
-            message::End::NotRun => None,
+            message::End::NotRun => {
+                self.rate.put_back();
+                None
+            }
         };
         if let Some(sample) = sample {
             self.limiter.completed(sample, self.in_flight, now);
@@ -128,17 +134,25 @@
         self.in_flight = self.in_flight.saturating_sub(1);
     }
 
-    /// Records what the target states in an answer; returns whether it stated something
-    /// else before.
-    pub fn observe(&mut self, notice: notice::Notice) -> bool {
+    /// Records what the target states in the answer to a request that was sent at `sent`;
+    /// returns whether it stated something else before.
+    pub fn observe(&mut self, notice: notice::Notice, sent: Instant, now: Instant) -> bool {
+        match notice.rate_limit {
+            notice::RateLimit::PerSecond(rate) => self.rate.record_limit(rate, now),
+            notice::RateLimit::Absent => self.rate.record_no_limit(sent),
+            notice::RateLimit::Unreadable => {}
+        }
         let changed = self.notice != notice;
         self.notice = notice;
         changed
     }
 
-    /// When the next queued request expires.
-    pub fn next_expiry(&self) -> Option<Instant> {
-        self.queue.next_expiry()
+    /// When the next queued request expires, or may run under the rate limit.
+    pub fn wake(&self) -> Option<Instant> {
+        let expiry = self.queue.next_expiry()?;
+        let may_run = self.in_flight < self.limiter.current();
+        let next = self.rate.next().filter(|_| may_run);
+        Some(next.map_or(expiry, |next| next.min(expiry)))
     }
 
     /// Removes every queued request.
@@ -152,8 +166,26 @@
             credit: outcome.credit,
             executions: outcome.executions,
             overload: self.level.current(now),
-            limit: self.limiter.current(),
-            in_flight: self.in_flight,
+            limit: self.limit(),
+            in_flight: self.in_flight(now),
+        }
+    }
+
+    /// The concurrency limit, or the concurrency to which the rate limit leads if that is
+    /// lower.
+    fn limit(&self) -> u32 {
+        let limit = self.limiter.current();
+        let by_rate = self.rate.requests_in(self.service_time.mean());
+        by_rate.map_or(limit, |by_rate| by_rate.min(limit))
+    }
+
+    /// Requests in flight, as other nodes are told: a target that takes no request now
+    /// because of its rate limit counts as full.
+    fn in_flight(&self, now: Instant) -> u32 {
+        if self.rate.is_ready(now) {
+            self.in_flight
+        } else {
+            self.in_flight.max(self.limit())
         }
     }
 
@@ -173,13 +205,15 @@
     }
 
     /// Bound on queue entries: twice the number of requests that can leave the queue
-    /// within the longest wait.
+    /// within the longest wait, and no more than the rate limit lets pass in that time.
     fn capacity(&self) -> u32 {
         let service = self.service_time.mean().as_micros().max(1);
         let limit = u128::from(self.limiter.current());
         let served = limit.saturating_mul(2 * self.queue_limit.as_micros()) / service;
-        u32::try_from(served)
+        let capacity = u32::try_from(served)
             .unwrap_or(MAX_QUEUE_ENTRIES)
-            .clamp(MIN_QUEUE_ENTRIES, MAX_QUEUE_ENTRIES)
+            .clamp(MIN_QUEUE_ENTRIES, MAX_QUEUE_ENTRIES);
+        let by_rate = self.rate.requests_in(self.queue_limit);
+        by_rate.map_or(capacity, |by_rate| by_rate.min(capacity))
     }
 }
--- a/crates/node/src/admission/message.rs
+++ b/crates/node/src/admission/message.rs
@@ -23,6 +23,17 @@
     NotRun,
 }
 
+impl End {
+    /// Time from sending the request to its end; zero if it was not sent.
+    #[must_use]
+    pub const fn duration(self) -> Duration {
+        match self {
+            Self::Answered(time) | Self::Failed(time) | Self::Cancelled(time) => time,
+            Self::NotRun => Duration::ZERO,
+        }
+    }
+}
+
 /// A refusal with the summary for the entry node.
 pub type Denial = (refusal::Refusal, summary::Summary);
 
--- a/crates/node/src/admission/state.rs
+++ b/crates/node/src/admission/state.rs
@@ -62,7 +62,8 @@
             message::Message::Acquire(entry, reply) => self.acquire(entry, reply, now),
             message::Message::Release(key, end, notice, reply) => {
                 if let Some(notice) = notice {
-                    self.observe(key, notice);
+                    let sent = now.checked_sub(end.duration()).unwrap_or(now);
+                    self.observe(key, notice, sent, now);
                 }
                 self.release(key, end, reply, now);
             }
@@ -88,7 +89,7 @@
         let due: Vec<_> = self
             .targets
             .iter()
-            .filter(|(_, local)| local.next_expiry().is_some_and(|wake| wake <= now))
+            .filter(|(_, local)| local.wake().is_some_and(|wake| wake <= now))
             .map(|(key, _)| key)
             .collect();
         for key in due {
@@ -101,8 +102,8 @@
 
     /// When [`Self::tick`] is due.
     pub fn wake(&self) -> Instant {
-        let expiries = self.targets.values().filter_map(local::Target::next_expiry);
-        expiries.fold(self.next_sweep, Instant::min)
+        let wakes = self.targets.values().filter_map(local::Target::wake);
+        wakes.fold(self.next_sweep, Instant::min)
     }
 
     fn acquire(&mut self, entry: Box<entry::Entry>, reply: Reply, now: Instant) {
@@ -209,13 +210,13 @@
         self.dispatch(call.local, now);
     }
 
-    /// Records what the target of a running call states in its answer.
-    fn observe(&mut self, key: key::CallKey, notice: notice::Notice) {
+    /// Records what the target of a running call, sent at `sent`, states in its answer.
+    fn observe(&mut self, key: key::CallKey, notice: notice::Notice, sent: Instant, now: Instant) {
         let call = self.calls.get(key);
         let Some(local) = call.and_then(|call| self.targets.get_mut(call.local)) else {
             return;
         };
-        if local.observe(notice) {
+        if local.observe(notice, sent, now) {
             let service = &local.announced.service;
             let permits = self.counters.permits(service);
             tracing::info!(%service, ?notice, permits, "target states another condition");
--- a/crates/policy/src/limit/mod.rs
+++ b/crates/policy/src/limit/mod.rs
@@ -1,7 +1,9 @@
-//! Concurrency limits: how many requests may be in flight at a target.
+//! Limits of one target: how many requests may be in flight there, and how many may be
+//! sent each second.
 
 pub mod adaptive;
 pub mod announced;
+pub mod rate;
 pub mod sample;
 pub mod unlimited;
 mod window;
--- a/crates/policy/src/share/mod.rs
+++ b/crates/policy/src/share/mod.rs
@@ -14,7 +14,7 @@
 //! `lease` has the messages between owner and holders.
 
 mod allocation;
-mod bucket;
+pub(crate) mod bucket;
 pub mod decision;
 mod demand;
 pub mod holder;
