Keep a stated rate limit over a restart of the target's node

What targets saw: after a restart of the node beside it, a target that had stated a limit got as many requests at once as it has slots, until its first answer.

Cause: the limit was kept in the memory of one process only, and that process knows nothing of a target it has not yet had an answer from. Ruled out: a disk (nodes have none), and the control log (a write for each change of a target's load, and unreachable just when nodes are cut off).

Change: entry nodes remember the last statement by node and service, which outlives the incarnation of the node, and send it along with each request. The target's node applies it until the target has answered once. Whoever has passed on a statement therefore never causes more than it allows, and no message is added.

--- a/crates/node/src/admission/entry.rs
+++ b/crates/node/src/admission/entry.rs
@@ -26,6 +26,8 @@
     pub repeat: bool,
     /// Service beside the node where the request entered the fleet.
     pub caller: Option<name::Name>,
+    /// Rate limit that the target was last known to state, in requests per second.
+    pub rate_limit: Option<f64>,
 }
 
 impl Entry {
--- a/crates/node/src/admission/local.rs
+++ b/crates/node/src/admission/local.rs
@@ -40,6 +40,8 @@
     service_time: ewma::Ewma,
     in_flight: u32,
     notice: notice::Notice,
+    /// Whether the target has answered a request since it was announced.
+    answered: bool,
 }
 
 impl<L: Limiter> Target<L> {
@@ -62,6 +64,7 @@
             service_time: ewma::Ewma::default(),
             in_flight: 0,
             notice: notice::Notice::default(),
+            answered: false,
         }
     }
 
@@ -142,11 +145,20 @@
             notice::RateLimit::Absent => self.rate.record_no_limit(sent),
             notice::RateLimit::Unreadable => {}
         }
+        self.answered = true;
         let changed = self.notice != notice;
         self.notice = notice;
         changed
     }
 
+    /// Applies the rate limit that the entry node of a request knows of, as long as the
+    /// target has not answered this node.
+    pub fn adopt_rate_limit(&mut self, per_second: f64, now: Instant) {
+        if !self.answered {
+            self.rate.record_limit(per_second, now);
+        }
+    }
+
     /// When the next queued request expires, or may run under the rate limit.
     pub fn wake(&self) -> Option<Instant> {
         let expiry = self.queue.next_expiry()?;
@@ -168,6 +180,7 @@
             overload: self.level.current(now),
             limit: self.limit(),
             in_flight: self.in_flight(now),
+            rate_limit: self.rate.per_second(),
         }
     }
 
--- a/crates/node/src/admission/state.rs
+++ b/crates/node/src/admission/state.rs
@@ -120,6 +120,9 @@
         let Some(account) = account::Account::open(allowance) else {
             return self.deny(key, &entry, reply, code::Code::RetryBudget, now);
         };
+        if let Some(rate) = entry.rate_limit {
+            self.targets[key].adopt_rate_limit(rate, now);
+        }
         let waiter = waiter::Waiter {
             entry,
             account,
@@ -337,6 +340,7 @@
         overload: level::ALL,
         limit: 0,
         in_flight: 0,
+        rate_limit: None,
     }
 }
 
--- a/crates/node/src/admission/summary.rs
+++ b/crates/node/src/admission/summary.rs
@@ -2,7 +2,7 @@
 
 /// Use of retry credit by a request, and load of its target, as sent to the entry node
 /// with an answer or a refusal.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Summary {
     /// Retry credit that the call tree of the request has left.
     pub credit: u8,
@@ -15,4 +15,6 @@
     pub limit: u32,
     /// Requests in flight at the target.
     pub in_flight: u32,
+    /// Requests per second that the target states as its limit.
+    pub rate_limit: Option<f64>,
 }
--- a/crates/node/src/caller/attempt.rs
+++ b/crates/node/src/caller/attempt.rs
@@ -36,6 +36,7 @@
             credit: choice.credit,
             repeat: choice.repeat,
             caller: services.options.service.clone(),
+            rate_limit: choice.rate_limit,
         },
         request: request.clone(),
     };
@@ -67,6 +68,7 @@
         executions: summary.and_then(|summary| summary.executions),
         overload: summary.map(|summary| summary.overload),
         limit: summary.map(|summary| (summary.limit, summary.in_flight)),
+        rate_limit: summary.and_then(|summary| summary.rate_limit),
     }
 }
 
--- a/crates/node/src/caller/guard.rs
+++ b/crates/node/src/caller/guard.rs
@@ -119,5 +119,6 @@
         executions: None,
         overload: None,
         limit: None,
+        rate_limit: None,
     }
 }
--- a/crates/node/src/gate/balancer.rs
+++ b/crates/node/src/gate/balancer.rs
@@ -8,7 +8,7 @@
 use masticarch_policy::{outlier, retry_budget};
 use slotmap::{SecondaryMap, SlotMap, new_key_type};
 
-use crate::gate::{classify, endpoint, report, upstream};
+use crate::gate::{classify, endpoint, report, statements, upstream};
 
 new_key_type! {
     /// Key of a service, kept over changes of the directory.
@@ -36,6 +36,7 @@
     upstreams: SlotMap<UpstreamKey, upstream::Upstream>,
     keys_by_name: map::Map<name::Name, UpstreamKey>,
     keys_by_service: SecondaryMap<directory::ServiceKey, UpstreamKey>,
+    statements: statements::Statements,
 }
 
 impl Balancer {
@@ -57,6 +58,7 @@
             upstreams: SlotMap::with_key(),
             keys_by_name: map::Map::default(),
             keys_by_service: SecondaryMap::new(),
+            statements: statements::Statements::default(),
         }
     }
 
@@ -113,6 +115,16 @@
         self.upstreams.get(upstream)?.pool.choose(rng, usable, load)
     }
 
+    /// Forgets statements that no target has repeated for a long time.
+    pub fn sweep(&mut self, now: Instant) {
+        self.statements.remove_old(now);
+    }
+
+    /// Rate limit that a target was last known to state.
+    pub fn rate_limit(&self, endpoint: &endpoint::Endpoint) -> Option<f64> {
+        self.statements.rate_limit(endpoint)
+    }
+
     /// Whether every usable target of a service sheds requests of this rank.
     pub fn all_shed(&self, upstream: UpstreamKey, rank: u8, now: Instant) -> bool {
         let Some(upstream) = self.upstreams.get(upstream) else {
@@ -188,6 +200,7 @@
         let Some(endpoint) = self.endpoints.get_mut(key) else {
             return;
         };
+        self.statements.record(endpoint, report, now);
         if endpoint.record_end(report, now)
             && self.ejection_enabled
             && self.may_eject(upstream, now)
@@ -222,9 +235,8 @@
         };
         let locality = locality::Locality::between(&self.place, &node.place);
         let known = self.identities.get(&identity).copied();
-        let slots = target.record.slots;
         let known = known.unwrap_or_else(|| {
-            let endpoint = endpoint::Endpoint::new(key, node, locality, slots);
+            let endpoint = endpoint::Endpoint::new(key, &target.record, node, locality);
             self.endpoints.insert(endpoint)
         });
         let endpoint = &mut self.endpoints[known];
--- a/crates/node/src/gate/choice.rs
+++ b/crates/node/src/gate/choice.rs
@@ -22,4 +22,6 @@
     pub repeat: bool,
     /// Longest time to wait for the answer of this attempt.
     pub timeout: Duration,
+    /// Rate limit that the target was last known to state, in requests per second.
+    pub rate_limit: Option<f64>,
 }
--- a/crates/node/src/gate/dispatcher.rs
+++ b/crates/node/src/gate/dispatcher.rs
@@ -162,6 +162,7 @@
             credit: allowance.credit,
             repeat: allowance.repeat,
             timeout: deadline.saturating_duration_since(now),
+            rate_limit: self.balancer.rate_limit(endpoint),
         }
     }
 
@@ -283,8 +284,9 @@
         }
     }
 
-    /// Ends requests that nobody ended in time.
+    /// Ends requests that nobody ended in time, and forgets what is old.
     pub fn sweep(&mut self, now: Instant) {
+        self.balancer.sweep(now);
         let abandoned: Vec<_> = self
             .running
             .iter()
--- a/crates/node/src/gate/endpoint.rs
+++ b/crates/node/src/gate/endpoint.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use masticarch_model::{code, directory, incarnation, name};
+use masticarch_model::{code, directory, incarnation, name, node, target};
 use masticarch_policy::ewma;
 use masticarch_policy::outlier::detector;
 use masticarch_policy::route::{load, locality};
@@ -29,6 +29,8 @@
     pub target: directory::TargetKey,
     /// Node beside the target.
     pub node: name::Name,
+    /// Service of the target.
+    pub service: name::Name,
     /// Incarnation of that node.
     pub incarnation: incarnation::Incarnation,
     /// Peer port of that node; `None` when the target is beside this node.
@@ -52,20 +54,21 @@
     /// A target of which nothing is known but its announcement.
     pub fn new(
         target: directory::TargetKey,
-        node: &masticarch_model::node::Node,
+        record: &target::Target,
+        node: &node::Node,
         locality: locality::Locality,
-        slots: u32,
     ) -> Self {
         Self {
             target,
             node: node.name.clone(),
+            service: record.service.clone(),
             incarnation: node.incarnation,
             peer: None,
             locality,
             serving: true,
             in_flight: 0,
             detector: detector::Detector::default(),
-            limit: slots,
+            limit: record.slots,
             reported_in_flight: 0,
             latency: ewma::Ewma::default(),
             admitted_rank: level::ALL,
--- a/crates/node/src/gate/mod.rs
+++ b/crates/node/src/gate/mod.rs
@@ -22,6 +22,7 @@
 mod splits;
 mod startup;
 mod state;
+mod statements;
 mod team;
 mod teams;
 mod upstream;
--- a/crates/node/src/gate/report.rs
+++ b/crates/node/src/gate/report.rs
@@ -5,7 +5,7 @@
 use masticarch_model::{code, ran};
 
 /// How one attempt ended, as reported to the gate.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Report {
     /// Why no whole answer of the target arrived; `None` when it did.
     pub failure: Option<code::Code>,
@@ -23,4 +23,7 @@
     pub overload: Option<u8>,
     /// Concurrency limit of the target and its requests in flight, in this order.
     pub limit: Option<(u32, u32)>,
+    /// Rate limit that the target states, in requests per second; known only along with
+    /// `limit`.
+    pub rate_limit: Option<f64>,
 }
--- a/crates/node/src/peer/headers.rs
+++ b/crates/node/src/peer/headers.rs
@@ -8,6 +8,7 @@
 use masticarch_wire::http::{answer, fields, request};
 
 use crate::admission::{entry, summary};
+use crate::protocol::notice;
 use crate::refusal;
 use crate::target::job;
 
@@ -28,6 +29,7 @@
     if let Some(caller) = &entry.caller {
         fields::set(headers, names::CALLER, caller);
     }
+    write_rate_limit(headers, entry.rate_limit);
 }
 
 /// Reads the entry that another node sent; `None` when a required header is missing or
@@ -46,6 +48,7 @@
         credit: fields::number(headers, names::CREDIT)?,
         repeat: fields::text(headers, names::REPEAT)? == "1",
         caller: fields::text(headers, names::CALLER).map(name::Name::new),
+        rate_limit: read_rate_limit(headers),
     })
 }
 
@@ -59,6 +62,20 @@
     if let Some(executions) = summary.executions {
         fields::set_number(headers, names::EXECUTIONS, executions);
     }
+    write_rate_limit(headers, summary.rate_limit);
+}
+
+fn write_rate_limit(headers: &mut HeaderMap, per_second: Option<f64>) {
+    if let Some(per_second) = per_second {
+        fields::set(headers, names::RATE_LIMIT, &per_second.to_string());
+    }
+}
+
+fn read_rate_limit(headers: &HeaderMap) -> Option<f64> {
+    match notice::RateLimit::read(fields::text(headers, names::RATE_LIMIT)) {
+        notice::RateLimit::PerSecond(per_second) => Some(per_second),
+        notice::RateLimit::Absent | notice::RateLimit::Unreadable => None,
+    }
 }
 
 /// Reads the answer of another node: the target's answer or a refusal, and the summary
@@ -83,6 +100,7 @@
         overload: fields::number(headers, names::OVERLOAD)?,
         limit: limit.parse().ok()?,
         in_flight: in_flight.parse().ok()?,
+        rate_limit: read_rate_limit(headers),
     })
 }
 
