Try a target that refused as draining again after a while

What callers could see: 503 no_target although an instance of the service ran and was announced as serving.

Cause: a refusal as draining took the target out of use until the next directory, on the assumption that the directory would show it as draining. If another run replaces the leaving one between two announcements of their node, the directory does not change and the target stays out of use until something else in the fleet changes.

target_that_refused_as_draining_is_tried_again fails without the change (no_target for as long as it waits) and passes with it.

--- a/crates/node/src/gate/endpoint.rs
+++ b/crates/node/src/gate/endpoint.rs
@@ -21,6 +21,11 @@
 /// newer one, and would otherwise seem overloaded for good.
 const LOAD_REPORT_MAX_AGE: Duration = Duration::from_secs(1);
 
+/// Time for which a target that is leaving is not chosen. Afterwards a request may find
+/// another run there: the directory does not change if that run has replaced the leaving
+/// one between two announcements of their node.
+const LEAVING_RECHECK: Duration = Duration::from_millis(200);
+
 /// A target as the entry node knows it: from the directory, and from the answers to
 /// its own requests.
 #[derive(Debug)]
@@ -37,7 +42,7 @@
     pub peer: Option<SocketAddr>,
     /// Distance from this node.
     pub locality: locality::Locality,
-    /// Whether the target takes new requests.
+    /// Whether the target takes new requests according to the directory.
     pub serving: bool,
     /// Requests of this node in flight at the target.
     pub in_flight: u32,
@@ -48,6 +53,7 @@
     latency: ewma::Ewma,
     admitted_rank: u8,
     reported_at: Option<Instant>,
+    leaving_until: Option<Instant>,
 }
 
 impl Endpoint {
@@ -73,12 +79,14 @@
             latency: ewma::Ewma::default(),
             admitted_rank: level::ALL,
             reported_at: None,
+            leaving_until: None,
         }
     }
 
     /// Whether a new request may be sent to the target.
     pub fn is_usable(&self, now: Instant) -> bool {
-        self.serving && !self.detector.is_ejected(now)
+        let leaving = self.leaving_until.is_some_and(|until| now < until);
+        self.serving && !leaving && !self.detector.is_ejected(now)
     }
 
     /// Whether the target sheds requests of this rank according to its last load report.
@@ -106,6 +114,9 @@
     pub fn record_end(&mut self, report: &report::Report, now: Instant) -> bool {
         self.in_flight = self.in_flight.saturating_sub(1);
         self.update_load(report, now);
+        if report.failure == Some(code::Code::Draining) {
+            self.leaving_until = Some(now + LEAVING_RECHECK);
+        }
         match classify::failure(report) {
             None => {
                 self.latency.add(report.latency);
@@ -113,11 +124,7 @@
                 false
             }
             Some(code) if classify::is_target_fault(code) => self.detector.record_failure(now),
-            Some(code) => {
-                // Until the next directory, which shows the target as draining or serving.
-                self.serving &= code != code::Code::Draining;
-                false
-            }
+            Some(_) => false,
         }
     }
 
--- a/crates/node/tests/gate.rs
+++ b/crates/node/tests/gate.rs
@@ -382,3 +382,24 @@
     assert_eq!(code_of(outcome), Some(code::Code::NotCurrent));
     assert!(waited < Duration::from_millis(200), "{waited:?}");
 }
+
+// Guards against a target that refused once as draining and is never chosen again, because
+// another run has replaced the leaving one before the directory could show it.
+#[test]
+fn target_that_refused_as_draining_is_tried_again() {
+    let (first, later) = fixture::with_gate(true, &fixture::view(1, 1), |gate| async move {
+        let request = || fixture::request("/open", None);
+        let admission = gate.begin(request()).await.unwrap();
+        let draining = report::Report {
+            failure: Some(code::Code::Draining),
+            ..refused(&admission.choice)
+        };
+        gate.end(&admission, Some(draining)).await;
+        let first = code_of(gate.begin(request()).await);
+        monoio::time::sleep(Duration::from_millis(300)).await;
+        (first, code_of(gate.begin(request()).await))
+    });
+
+    assert_eq!(first, Some(code::Code::NoTarget));
+    assert_eq!(later, None);
+}
