Send nothing new to a target that states that it is leaving

What targets saw: new requests after they had said in an answer that they leave, for as long as their announcements said that they serve; and again after a restart of the node beside them.

Only announcements could take a target out of use; a statement in an answer was passed on unread. Where announcements lag or do not arrive, the answer is the first and only news.

Change: the node beside the target marks the run (id and start) as leaving, refuses new requests as draining, and announces it as draining, whatever its later announcements say. Another run starts with a clean slate, also under the same id: an announcement with another start now counts as another target, so that neither the mark nor a rate limit of the previous run applies. Entry nodes remember the run and send it along, as they do with the rate limit, so that the mark survives a restart of the target's node.

--- a/crates/node/src/caller/attempt.rs
+++ b/crates/node/src/caller/attempt.rs
@@ -37,6 +37,7 @@
             repeat: choice.repeat,
             caller: services.options.service.clone(),
             rate_limit: choice.rate_limit,
+            leaving: choice.leaving.clone(),
         },
         request: request.clone(),
     };
@@ -69,6 +70,7 @@
         overload: summary.map(|summary| summary.overload),
         limit: summary.map(|summary| (summary.limit, summary.in_flight)),
         rate_limit: summary.and_then(|summary| summary.rate_limit),
+        leaving: outcome.leaving.clone(),
     }
 }
 
--- a/crates/node/src/caller/guard.rs
+++ b/crates/node/src/caller/guard.rs
@@ -120,5 +120,6 @@
         overload: None,
         limit: None,
         rate_limit: None,
+        leaving: None,
     }
 }
--- a/crates/node/src/gate/balancer.rs
+++ b/crates/node/src/gate/balancer.rs
@@ -120,9 +120,9 @@
         self.statements.remove_old(now);
     }
 
-    /// Rate limit that a target was last known to state.
-    pub fn rate_limit(&self, endpoint: &endpoint::Endpoint) -> Option<f64> {
-        self.statements.rate_limit(endpoint)
+    /// What a target was last known to state about itself.
+    pub fn statement(&self, endpoint: &endpoint::Endpoint) -> Option<&statements::Statement> {
+        self.statements.get(endpoint)
     }
 
     /// Whether every usable target of a service sheds requests of this rank.
--- a/crates/node/src/gate/choice.rs
+++ b/crates/node/src/gate/choice.rs
@@ -24,4 +24,6 @@
     pub timeout: Duration,
     /// Rate limit that the target was last known to state, in requests per second.
     pub rate_limit: Option<f64>,
+    /// Run of the target that has stated that it is leaving, as far as is known.
+    pub leaving: Option<Box<str>>,
 }
--- a/crates/node/src/gate/dispatcher.rs
+++ b/crates/node/src/gate/dispatcher.rs
@@ -154,6 +154,7 @@
     ) -> choice::Choice {
         let allowance = balance.lend();
         let endpoint = self.balancer.get(key).expect("a chosen target is known");
+        let statement = self.balancer.statement(endpoint);
         choice::Choice {
             target: endpoint.target,
             node: endpoint.node.clone(),
@@ -162,7 +163,8 @@
             credit: allowance.credit,
             repeat: allowance.repeat,
             timeout: deadline.saturating_duration_since(now),
-            rate_limit: self.balancer.rate_limit(endpoint),
+            rate_limit: statement.and_then(|statement| statement.rate_limit),
+            leaving: statement.and_then(|statement| statement.leaving.clone()),
         }
     }
 
--- a/crates/node/src/gate/endpoint.rs
+++ b/crates/node/src/gate/endpoint.rs
@@ -114,7 +114,7 @@
     pub fn record_end(&mut self, report: &report::Report, now: Instant) -> bool {
         self.in_flight = self.in_flight.saturating_sub(1);
         self.update_load(report, now);
-        if report.failure == Some(code::Code::Draining) {
+        if report.leaving.is_some() || report.failure == Some(code::Code::Draining) {
             self.leaving_until = Some(now + LEAVING_RECHECK);
         }
         match classify::failure(report) {
--- a/crates/node/src/gate/report.rs
+++ b/crates/node/src/gate/report.rs
@@ -26,4 +26,6 @@
     /// Rate limit that the target states, in requests per second; known only along with
     /// `limit`.
     pub rate_limit: Option<f64>,
+    /// Run of the target that has stated in its answer that it is leaving.
+    pub leaving: Option<Box<str>>,
 }
--- a/crates/node/src/gate/statements.rs
+++ b/crates/node/src/gate/statements.rs
@@ -10,9 +10,13 @@
 /// takes much less.
 const RETENTION: Duration = Duration::from_mins(10);
 
-#[derive(Clone, Copy, Debug)]
-struct Statement {
-    rate_limit: f64,
+/// What a target was last known to state about itself.
+#[derive(Clone, Debug)]
+pub struct Statement {
+    /// Its rate limit, in requests per second.
+    pub rate_limit: Option<f64>,
+    /// Its run that is leaving.
+    pub leaving: Option<Box<str>>,
     recorded: Instant,
 }
 
@@ -27,25 +31,33 @@
 impl Statements {
     /// Records what the report on an attempt says of its target.
     pub fn record(&mut self, endpoint: &endpoint::Endpoint, report: &report::Report, now: Instant) {
+        let known = self.get(endpoint);
         // Without a load report nothing is known of the rate limit either.
-        if report.limit.is_none() {
-            return;
-        }
-        let Some(rate_limit) = report.rate_limit else {
-            return self.remove(endpoint);
+        let rate_limit = match report.limit {
+            Some(_) => report.rate_limit,
+            None => known.and_then(|known| known.rate_limit),
         };
-        let services = self.nodes.entry(endpoint.node.clone()).or_default();
+        // A whole answer that does not mention it comes from another run.
+        let answered = report.status.is_some();
+        let leaving = report.leaving.clone().or_else(|| {
+            let known = known.filter(|_| !answered)?;
+            known.leaving.clone()
+        });
+        if rate_limit.is_none() && leaving.is_none() {
+            return self.remove(endpoint);
+        }
         let statement = Statement {
             rate_limit,
+            leaving,
             recorded: now,
         };
+        let services = self.nodes.entry(endpoint.node.clone()).or_default();
         services.insert(endpoint.service.clone(), statement);
     }
 
-    /// Rate limit that a target was last known to state, in requests per second.
-    pub fn rate_limit(&self, endpoint: &endpoint::Endpoint) -> Option<f64> {
-        let statement = self.nodes.get(&endpoint.node)?.get(&endpoint.service)?;
-        Some(statement.rate_limit)
+    /// What a target was last known to state.
+    pub fn get(&self, endpoint: &endpoint::Endpoint) -> Option<&Statement> {
+        self.nodes.get(&endpoint.node)?.get(&endpoint.service)
     }
 
     /// Forgets statements that no target has repeated for a long time.
--- a/crates/node/src/peer/handler.rs
+++ b/crates/node/src/peer/handler.rs
@@ -40,6 +40,7 @@
         if let Some(summary) = &outcome.summary {
             headers::write_summary(&mut answer, summary);
         }
+        headers::write_leaving(&mut answer.headers, outcome.leaving.as_deref());
         answer.keep_alive = true;
         answer
     }
--- a/crates/node/src/peer/headers.rs
+++ b/crates/node/src/peer/headers.rs
@@ -30,6 +30,7 @@
         fields::set(headers, names::CALLER, caller);
     }
     write_rate_limit(headers, entry.rate_limit);
+    write_leaving(headers, entry.leaving.as_deref());
 }
 
 /// Reads the entry that another node sent; `None` when a required header is missing or
@@ -49,6 +50,7 @@
         repeat: fields::text(headers, names::REPEAT)? == "1",
         caller: fields::text(headers, names::CALLER).map(name::Name::new),
         rate_limit: read_rate_limit(headers),
+        leaving: read_leaving(headers),
     })
 }
 
@@ -65,6 +67,17 @@
     write_rate_limit(headers, summary.rate_limit);
 }
 
+/// Adds the run of the target that has stated that it is leaving, if there is one.
+pub fn write_leaving(headers: &mut HeaderMap, run: Option<&str>) {
+    if let Some(run) = run {
+        fields::set(headers, names::LEAVING, run);
+    }
+}
+
+fn read_leaving(headers: &HeaderMap) -> Option<Box<str>> {
+    fields::text(headers, names::LEAVING).map(Into::into)
+}
+
 fn write_rate_limit(headers: &mut HeaderMap, per_second: Option<f64>) {
     if let Some(per_second) = per_second {
         fields::set(headers, names::RATE_LIMIT, &per_second.to_string());
@@ -83,12 +96,14 @@
 #[must_use]
 pub fn read_outcome(mut answer: answer::Answer) -> job::Outcome {
     let summary = read_summary(&answer.headers);
+    let leaving = read_leaving(&answer.headers);
     let refusal = read_refusal(&answer);
     fields::strip_hop_by_hop(&mut answer.headers);
     fields::strip_internal(&mut answer.headers);
     job::Outcome {
         result: refusal.map_or(Ok(answer), Err),
         summary,
+        leaving,
     }
 }
 
--- a/crates/node/src/target/announcement.rs
+++ b/crates/node/src/target/announcement.rs
@@ -31,21 +31,30 @@
         self.slots > 0 && self.connections > 0
     }
 
-    /// Whether both announce the same state of the same instance. Its start and the
-    /// sequence numbers are not compared.
+    /// Whether both announce the same state of the same run. Their sequence numbers are
+    /// not compared.
     #[must_use]
     pub fn is_equivalent(&self, other: &Self) -> bool {
         self.address == other.address
             && self.slots == other.slots
             && self.connections == other.connections
             && self.state == other.state
-            && self.instance_id() == other.instance_id()
+            && self.is_same_run(other)
     }
 
-    /// Id of the announced instance, if the announcement has one.
+    /// Whether both announce the same run, as far as the target identifies its runs.
     #[must_use]
-    pub fn instance_id(&self) -> Option<&str> {
-        self.instance.as_ref().map(|instance| &*instance.id)
+    pub fn is_same_run(&self, other: &Self) -> bool {
+        match (&self.instance, &other.instance) {
+            (Some(own), Some(other)) => own.is_same_run(other),
+            (own, other) => own.is_none() && other.is_none(),
+        }
+    }
+
+    /// Text that identifies the announced run, if the announcement has an instance.
+    #[must_use]
+    pub fn run(&self) -> Option<Box<str>> {
+        self.instance.as_ref().map(instance::Instance::run)
     }
 
     /// The target as the control leader publishes it to the fleet.
--- a/crates/node/src/target/guard.rs
+++ b/crates/node/src/target/guard.rs
@@ -18,6 +18,8 @@
     started: Instant,
     sent: bool,
     notice: Option<notice::Notice>,
+    /// Run of the target that has stated that it is leaving.
+    leaving: Option<Box<str>>,
 }
 
 impl Guard {
@@ -30,6 +32,7 @@
             started: Instant::now(),
             sent: false,
             notice: None,
+            leaving: None,
         }
     }
 
@@ -40,9 +43,16 @@
         self.started = Instant::now();
     }
 
-    /// Records what the target states in its answer.
-    pub fn record_notice(&mut self, notice: notice::Notice) {
+    /// Records what this run of the target states in its answer.
+    pub fn record_notice(&mut self, notice: notice::Notice, run: Option<Box<str>>) {
         self.notice = Some(notice);
+        self.leaving = run.filter(|_| notice.leaving);
+    }
+
+    /// The run that has stated in its answer that it is leaving.
+    #[must_use]
+    pub fn leaving(&self) -> Option<Box<str>> {
+        self.leaving.clone()
     }
 
     /// Ends the call and returns the summary for the entry node; `None` when admission
--- a/crates/node/src/target/instance.rs
+++ b/crates/node/src/target/instance.rs
@@ -15,6 +15,18 @@
 }
 
 impl Instance {
+    /// Text that identifies the run. An instance that starts again may keep its id.
+    #[must_use]
+    pub fn run(&self) -> Box<str> {
+        format!("{}-{}", self.started_ms, self.id).into()
+    }
+
+    /// Whether both announcements are of the same run.
+    #[must_use]
+    pub fn is_same_run(&self, other: &Self) -> bool {
+        self.id == other.id && self.started_ms == other.started_ms
+    }
+
     /// Whether this announcement was made before the other one.
     #[must_use]
     pub const fn is_before(&self, other: &Self) -> bool {
--- a/crates/node/src/target/job.rs
+++ b/crates/node/src/target/job.rs
@@ -23,6 +23,8 @@
     /// Summary for the entry node; `None` when admission did not send one or it was
     /// lost.
     pub summary: Option<summary::Summary>,
+    /// Run of the target that has stated in its answer that it is leaving.
+    pub leaving: Option<Box<str>>,
 }
 
 impl Outcome {
@@ -32,6 +34,7 @@
         Self {
             result: Err(refusal),
             summary: None,
+            leaving: None,
         }
     }
 }
--- a/crates/node/src/target/message.rs
+++ b/crates/node/src/target/message.rs
@@ -16,6 +16,10 @@
     ///
     /// A withdrawal with the id of an instance has no effect on another instance.
     Withdraw(name::Name, Option<Box<str>>),
+    /// A run of a target has stated that it is leaving: it gets no new requests, whatever
+    /// it announces. `None` names a target that does not identify its runs. Has no
+    /// effect on another run.
+    Leaving(name::Name, Option<Box<str>>, reply::Reply<()>),
     /// Lists the announced targets.
     List(reply::Reply<Vec<target::Target>>),
     /// Checks out a slot for a connection to a target; `None` when all connections
--- a/crates/node/src/target/pool.rs
+++ b/crates/node/src/target/pool.rs
@@ -6,6 +6,8 @@
 use masticarch_wire::http::connection;
 use monoio::net::TcpStream;
 
+use super::instance;
+
 /// A connection to a target.
 pub type Connection = connection::Connection<TcpStream>;
 
@@ -15,8 +17,8 @@
 pub struct Slot {
     /// The open connection, if there is one.
     pub connection: Option<Connection>,
-    /// Id of the target's instance, if it was announced.
-    pub instance: Option<Rc<str>>,
+    /// The target's instance, if it was announced.
+    pub instance: Option<Rc<instance::Instance>>,
     /// When the connection is no longer used, if the target has stated for how long it
     /// keeps an idle one open.
     pub expires: Option<Instant>,
@@ -26,7 +28,7 @@
 /// Pool of connections to one target.
 #[derive(Debug, Default)]
 pub struct Pool {
-    instance: Option<Rc<str>>,
+    instance: Option<Rc<instance::Instance>>,
     max_connections: usize,
     idle: Vec<Slot>,
     permits: Rc<()>,
@@ -35,17 +37,20 @@
 impl Pool {
     /// An empty pool for one instance of a target.
     #[must_use]
-    pub fn new(instance: Option<&str>) -> Self {
+    pub fn new(instance: Option<instance::Instance>) -> Self {
         Self {
-            instance: instance.map(Into::into),
+            instance: instance.map(Rc::new),
             ..Self::default()
         }
     }
 
-    /// Whether the connections are to this instance of the target.
+    /// Whether the connections are to the run that this instance was announced for.
     #[must_use]
-    pub fn is_for(&self, instance: Option<&str>) -> bool {
-        self.instance.as_deref() == instance
+    pub fn is_for(&self, instance: Option<&instance::Instance>) -> bool {
+        match (&self.instance, instance) {
+            (Some(own), Some(other)) => own.is_same_run(other),
+            (own, other) => own.is_none() && other.is_none(),
+        }
     }
 
     /// Sets the number of connections that the target accepts, and closes idle
--- a/crates/node/src/target/run.rs
+++ b/crates/node/src/target/run.rs
@@ -3,13 +3,13 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use masticarch_model::{code, ran};
+use masticarch_model::{code, name, ran};
 use masticarch_wire::http::{answer, connection, fields};
 use masticarch_wire::socket;
 
-use super::{guard, job, message, pool};
+use super::{guard, instance, job, message, pool};
 use crate::admission::{message as admission, permit};
-use crate::protocol::{Protocol, class, delivery};
+use crate::protocol::{Protocol, class, delivery, notice};
 use crate::{refusal, services};
 
 /// Time before a target closes an idle connection from which on the connection is no
@@ -22,14 +22,17 @@
 /// answer with the target, and releases the permit. Dropping the future cancels the job.
 pub async fn run<P: Protocol>(services: &services::Services, job: job::Job) -> job::Outcome {
     let started = Instant::now();
+    if let Some(run) = job.entry.leaving.clone() {
+        mark_leaving(services, &job.entry.service, Some(run)).await;
+    }
     let entry = Box::new(job.entry.clone());
     let acquire = |reply| admission::Message::Acquire(entry, reply);
     let permit = match services.admission.ask(acquire).await {
         Ok(Ok(permit)) => permit,
         Ok(Err((refusal, summary))) => {
             return job::Outcome {
-                result: Err(refusal),
                 summary: Some(summary),
+                ..job::Outcome::refused(refusal)
             };
         }
         Err(_) => return job::Outcome::refused(refusal::Refusal::draining()),
@@ -51,8 +54,13 @@
         Ok(Err(refusal)) => (Err(refusal), guard.failed()),
         Err(_) => (Err(timed_out(&guard)), guard.cancelled()),
     };
+    let leaving = guard.leaving();
     let summary = guard.end(end).await;
-    job::Outcome { result, summary }
+    job::Outcome {
+        result,
+        summary,
+        leaving,
+    }
 }
 
 async fn exchange<P: Protocol>(
@@ -71,7 +79,7 @@
     let delivery = delivery::Delivery {
         entry: &job.entry,
         permit,
-        instance: slot.instance.as_deref(),
+        instance: slot.instance.as_deref().map(|instance| &*instance.id),
     };
     fields::strip_internal(&mut job.request.headers);
     P::set_target_headers(&mut job.request, &delivery);
@@ -86,7 +94,8 @@
         class = P::classify(&job.request, &answer);
     }
     if class != class::Class::Mismatched {
-        guard.record_notice(P::notice(&answer));
+        let run = slot.instance.as_deref().map(instance::Instance::run);
+        record_notice(services, guard, P::notice(&answer), &job.entry.service, run).await;
     }
     if answer.keep_alive {
         slot.connection = Some(connection);
@@ -109,6 +118,26 @@
     }
 }
 
+/// Records what the target states in its answer. `run` identifies the run that the
+/// connection leads to.
+async fn record_notice(
+    services: &services::Services,
+    guard: &mut guard::Guard,
+    notice: notice::Notice,
+    service: &name::Name,
+    run: Option<Box<str>>,
+) {
+    if notice.leaving {
+        mark_leaving(services, service, run.clone()).await;
+    }
+    guard.record_notice(notice, run);
+}
+
+async fn mark_leaving(services: &services::Services, service: &name::Name, run: Option<Box<str>>) {
+    let leaving = |reply| message::Message::Leaving(service.clone(), run, reply);
+    let _ = services.target.ask(leaving).await;
+}
+
 /// Reads further answers until that to the request of this job arrives. The connection
 /// is not used again.
 async fn matching_answer<P: Protocol>(
--- a/crates/node/src/target/service.rs
+++ b/crates/node/src/target/service.rs
@@ -26,6 +26,9 @@
     entries: map::Map<name::Name, Entry>,
     /// The last instance of each service that has withdrawn.
     withdrawn: map::Map<name::Name, instance::Instance>,
+    /// The last run of each service that has stated that it is leaving; `None` if the
+    /// target does not identify its runs.
+    leaving: map::Map<name::Name, Option<Box<str>>>,
     expiry: Duration,
     pools: map::Map<SocketAddr, pool::Pool>,
 }
@@ -41,6 +44,7 @@
         admission,
         entries: map::Map::default(),
         withdrawn: map::Map::default(),
+        leaving: map::Map::default(),
         expiry,
         pools: map::Map::default(),
     };
@@ -65,6 +69,10 @@
                 self.announce(service, announcement).await;
             }
             message::Message::Withdraw(service, id) => self.withdraw(&service, id).await,
+            message::Message::Leaving(service, run, reply) => {
+                self.mark_leaving(service, run).await;
+                let _ = reply.send(());
+            }
             message::Message::List(reply) => {
                 let _ = reply.send(self.list());
             }
@@ -95,20 +103,69 @@
         if unchanged {
             return;
         }
-        if let Some(previous) =
-            previous.filter(|previous| previous.announcement.address != announcement.address)
-        {
-            self.pools.remove(&previous.announcement.address);
+        if let Some(previous) = previous {
+            self.end_previous(&service, &previous.announcement, &announcement)
+                .await;
         }
         let pool = self.pools.entry(announcement.address).or_default();
-        if !pool.is_for(announcement.instance_id()) {
-            *pool = pool::Pool::new(announcement.instance_id());
+        if !pool.is_for(announcement.instance.as_ref()) {
+            *pool = pool::Pool::new(announcement.instance.clone());
         }
         pool.set_max_connections(max_connections);
-        self.notify_admission(announcement.target(service), Some(announcement.address))
+        let target = self.target(&service, &announcement);
+        self.notify_admission(target, Some(announcement.address))
             .await;
     }
 
+    /// Drops what is known of the previous announcement and does not hold for the next
+    /// one. Admission learns of another run as of another target: the limits of the
+    /// previous run do not apply to it.
+    async fn end_previous(
+        &mut self,
+        service: &name::Name,
+        previous: &announcement::Announcement,
+        next: &announcement::Announcement,
+    ) {
+        if previous.address != next.address {
+            self.pools.remove(&previous.address);
+        }
+        if !previous.is_same_run(next) {
+            self.notify_admission(previous.target(service.clone()), None)
+                .await;
+        }
+    }
+
+    async fn mark_leaving(&mut self, service: name::Name, run: Option<Box<str>>) {
+        let current = self.entries.get(&service);
+        let current = current.map(|entry| entry.announcement.clone());
+        if current.as_ref().is_some_and(|current| current.run() != run) {
+            return;
+        }
+        let previous = self.leaving.insert(service.clone(), run.clone());
+        if previous.as_ref() == Some(&run) {
+            return;
+        }
+        tracing::info!(%service, run = run.as_deref(), "target has stated that it is leaving");
+        if let Some(current) = current {
+            let target = self.target(&service, &current);
+            self.notify_admission(target, Some(current.address)).await;
+        }
+    }
+
+    /// The target as it is published: as announced, but draining once its run has stated
+    /// that it is leaving.
+    fn target(
+        &self,
+        service: &name::Name,
+        announcement: &announcement::Announcement,
+    ) -> target::Target {
+        let mut target = announcement.target(service.clone());
+        if self.leaving.get(service) == Some(&announcement.run()) {
+            target.state = target::State::Draining;
+        }
+        target
+    }
+
     /// Whether an announcement was made before the current one, or its instance started
     /// no later than one that has withdrawn.
     fn is_outdated(&self, service: &name::Name, announcement: &announcement::Announcement) -> bool {
@@ -138,6 +195,9 @@
     async fn remove(&mut self, service: &name::Name) {
         if let Some(entry) = self.entries.remove(service) {
             self.pools.remove(&entry.announcement.address);
+            if entry.announcement.instance.is_none() {
+                self.leaving.remove(service);
+            }
             self.notify_admission(entry.announcement.target(service.clone()), None)
                 .await;
         }
@@ -164,7 +224,7 @@
     fn list(&self) -> Vec<target::Target> {
         self.entries
             .iter()
-            .map(|(service, entry)| entry.announcement.target(service.clone()))
+            .map(|(service, entry)| self.target(service, &entry.announcement))
             .collect()
     }
 
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -40,7 +40,7 @@
 /// Requests per second that a target takes from the whole fleet. Stated by targets in
 /// their answers, and passed on between nodes.
 pub const RATE_LIMIT: &str = "masticarch-rate-limit";
-/// From a target: `1` when it is leaving.
+/// From a target: `1` when it is leaving. Between nodes: the run of the target that is.
 pub const LEAVING: &str = "masticarch-leaving";
 /// Number of a result code.
 pub const CODE: &str = "masticarch-code";
