Answer requests that arrive while a node's ports close

What callers saw: during a planned stop, a request that was still arriving when the last one in flight had ended got no answer: the process ended with its connection open.

Cause: a stop waited for whole requests only. A request counts as in flight once it is whole; the service of a port returned as soon as it was asked to stop, and its connection tasks were dropped with the runtime. Connections that the system had accepted and the service had not were reset. Ruled out: the order of the services (ports stop first, so that what decides still answers).

Change: a port accepts what waits, closes, and ends when its connections have. Idle ones close at once; the stop of a service and of a node stay bounded as before.

request_that_arrives_during_a_stop_is_answered got nothing before, and is refused as draining (not run) now.

--- a/crates/node/src/in_flight.rs
+++ b/crates/node/src/in_flight.rs
@@ -1,4 +1,4 @@
-//! Counts the requests in flight, so that a shutdown waits for them.
+//! Counts requests in flight and open connections, so that a shutdown waits for them.
 
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/node/src/listener.rs
+++ b/crates/node/src/listener.rs
@@ -4,10 +4,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use futures::FutureExt;
 use futures::future::{self, Either};
 use masticarch_kernel::{name, stop, task};
 use monoio::net::{ListenerOpts, TcpListener, TcpStream};
 
+use crate::in_flight;
+
 /// Pause after a failed accept, for example when no descriptor is left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Idle time before the first TCP keepalive probe. A caller that disappears without
@@ -40,9 +43,9 @@
     )
 }
 
-/// Accepts connections until asked to stop. `serve` returns the future that serves
-/// one connection, given its number and stream. It runs in a task of its own, and a
-/// panic ends only that task.
+/// Accepts connections until asked to stop, and then waits until those that are open have
+/// ended. `serve` returns the future that serves one connection, given its number and
+/// stream. It runs in a task of its own, and a panic ends only that task.
 pub async fn run<F>(
     service: name::Name,
     listener: TcpListener,
@@ -52,20 +55,31 @@
     F: Future<Output = ()> + 'static,
 {
     let mut number = 0_u32;
+    let open = in_flight::Counter::default();
+    let mut spawn = |stream: TcpStream| {
+        if configure(&stream).is_ok() {
+            number = number.wrapping_add(1);
+            let guard = open.enter();
+            let serving = serve(number, stream);
+            drop(task::spawn(service, async move {
+                serving.await;
+                drop(guard);
+            }));
+        }
+    };
     let mut stopped = std::pin::pin!(stop.wait());
     loop {
         let accept = std::pin::pin!(listener.accept());
-        let stream = match future::select(stopped.as_mut(), accept).await {
-            Either::Left(_) => return,
-            Either::Right((Ok((stream, _)), _)) => stream,
-            Either::Right((Err(_), _)) => {
-                monoio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            }
-        };
-        if configure(&stream).is_ok() {
-            number = number.wrapping_add(1);
-            drop(task::spawn(service, serve(number, stream)));
+        match future::select(stopped.as_mut(), accept).await {
+            Either::Left(_) => break,
+            Either::Right((Ok((stream, _)), _)) => spawn(stream),
+            Either::Right((Err(_), _)) => monoio::time::sleep(ACCEPT_RETRY_DELAY).await,
         }
     }
+    // Closing the port would reset the connections that have not been accepted yet.
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        spawn(stream);
+    }
+    drop(listener);
+    open.wait_idle().await;
 }
--- a/crates/node/tests/path.rs
+++ b/crates/node/tests/path.rs
@@ -214,6 +214,25 @@
     assert_eq!(target.requests.load(Ordering::SeqCst), 1);
 }
 
+// Guards against a stop that cuts off a request which is still arriving when the last one
+// in flight has ended.
+#[test]
+fn request_that_arrives_during_a_stop_is_answered() {
+    let (mut node, _) = fleet::node_with_target(target::answering(OK));
+    let mut late = client::connect(node.caller);
+
+    node.stop();
+    std::thread::sleep(Duration::from_millis(600));
+    late.write_all(b"GET /guiones HTTP/1.1\r\n").unwrap();
+    std::thread::sleep(Duration::from_millis(700));
+    let _ = late.write_all(b"host: a\r\n\r\n");
+    let answer = client::read_all(&mut late);
+    node.join();
+
+    assert!(answer.contains("masticarch-code: 1009"), "{answer}");
+    assert!(answer.contains("masticarch-ran: no"), "{answer}");
+}
+
 // Guards against a target that gets requests after it has stopped renewing its
 // announcement.
 #[test]
