Skip a late second copy of an answer on a reused connection

What callers saw: the answer to somebody else's request. A target that sends an answer a second time, late, sends it when the pooled connection carries the next request, and the copy was taken for its answer.

Cause: unsolicited bytes were noticed only while a connection is idle. The product's own protocol had nothing by which an answer can be told from another; the platform's has the id of the attempt, which instances echo.

Change: a target may echo `masticarch-context`, which is unique to a running call; an answer with another context is skipped, as on the platform.

late_second_copy_of_an_answer_reaches_no_other_caller: the second caller got the answer to the first before, its own now.

--- a/crates/node/src/protocol/native.rs
+++ b/crates/node/src/protocol/native.rs
@@ -52,8 +52,13 @@
         }
     }
 
-    fn classify(_: &request::Request, _: &answer::Answer) -> class::Class {
-        class::Class::Ran
+    fn classify(request: &request::Request, answer: &answer::Answer) -> class::Class {
+        let echoed = answer.headers.get(names::CONTEXT);
+        if echoed.is_some() && echoed != request.headers.get(names::CONTEXT) {
+            class::Class::Mismatched
+        } else {
+            class::Class::Ran
+        }
     }
 
     fn notice(answer: &answer::Answer) -> notice::Notice {
--- a/crates/node/tests/path.rs
+++ b/crates/node/tests/path.rs
@@ -2,7 +2,8 @@
 
 mod common;
 
-use std::io::Write;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
@@ -233,6 +234,58 @@
     assert!(answer.contains("masticarch-ran: no"), "{answer}");
 }
 
+/// Starts a target that echoes the context of each request in its answer, and sends each
+/// answer but the first after a second copy of the one before.
+fn repeating_target() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut previous = String::new();
+            while let Some(head) = read_head(&mut stream) {
+                let path = head.split(' ').nth(1).unwrap();
+                let context = head
+                    .lines()
+                    .find(|line| line.starts_with("masticarch-context"));
+                let answer = format!(
+                    "HTTP/1.1 200 OK\r\n{}\r\ncontent-length: {}\r\n\r\n{path}",
+                    context.unwrap(),
+                    path.len()
+                );
+                let _ = stream.write_all(format!("{previous}{answer}").as_bytes());
+                previous = answer;
+            }
+        }
+    });
+    address
+}
+
+fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte).ok()?;
+        head.push(byte[0]);
+    }
+    String::from_utf8(head).ok()
+}
+
+// Guards against a second copy of an answer that arrives when its connection is in use
+// again, and reaches the next caller.
+#[test]
+fn late_second_copy_of_an_answer_reaches_no_other_caller() {
+    let node = fleet::node("uno", fleet::control());
+    node.announce(&target::Target::at(repeating_target()), 1);
+    node.wait_for_target();
+
+    let answers = ["/guiones/1", "/guiones/2", "/guiones/3"]
+        .map(|path| client::exchange(node.caller, &client::get(path, "")));
+
+    assert!(answers[0].ends_with("/guiones/1"), "{}", answers[0]);
+    assert!(answers[1].ends_with("/guiones/2"), "{}", answers[1]);
+    assert!(answers[2].ends_with("/guiones/3"), "{}", answers[2]);
+}
+
 // Guards against a target that gets requests after it has stopped renewing its
 // announcement.
 #[test]
