Bound the size line of a chunk

What callers saw: nothing, from the whole node, while one target sent a chunk size with leading zeros that did not end.

Cause: the library's decoder accepts any number of leading zeros and parses the size line anew with each read, so that its time grows with the square of the bytes. In the debug build one answer of 4 MiB kept the process, which has one thread, busy for 101 s before it was refused as too large. Looked at for the same reason, and bounded already: heads, header lines, interim answers, bodies of a length or until the close, chunk extensions, trailers.

Change: at most 16 digits of a size line reach the decoder.

--- a/crates/wire/src/http/connection.rs
+++ b/crates/wire/src/http/connection.rs
@@ -22,6 +22,8 @@
 /// Largest body that is copied out of the input buffer, so that the buffer can be
 /// used again; a larger one is split off without a copy.
 const MAX_COPIED_BYTES: usize = 4 << 10;
+/// Most digits of a chunk size.
+const MAX_CHUNK_SIZE_DIGITS: usize = 16;
 /// Most bytes that [`Connection::finish`] reads and discards.
 const MAX_DISCARDED_BYTES: usize = 4 << 20;
 /// Longest time for which [`Connection::finish`] reads.
@@ -344,13 +346,7 @@
         let mut decoder = decoder::ChunkedBodyDecoder::default();
         let mut body = BytesMut::new();
         loop {
-            while self.input.is_empty() {
-                self.fill_body(MIN_READ_BYTES).await?;
-            }
-            // The decoder would take an empty size line for the last chunk.
-            if !self.input[0].is_ascii_hexdigit() {
-                return Err(fault::Fault::Malformed("chunk size"));
-            }
+            self.fill_chunk_size().await?;
             let left = body_limits.max_bytes - body.len();
             let Some(chunk) = self.chunk(&mut decoder, left).await? else {
                 let bytes = body.freeze();
@@ -385,6 +381,23 @@
         Ok(Body { bytes, reservation })
     }
 
+    /// Reads until the digits of a chunk size are in the input buffer. The decoder parses
+    /// them anew with each read and without a bound, and would take an empty size for
+    /// the last chunk.
+    async fn fill_chunk_size(&mut self) -> Result<(), fault::Fault> {
+        loop {
+            let mut bytes = self.input.iter().take(MAX_CHUNK_SIZE_DIGITS + 1);
+            match bytes.position(|byte| !byte.is_ascii_hexdigit()) {
+                Some(0) => return Err(fault::Fault::Malformed("chunk size")),
+                Some(_) => return Ok(()),
+                None if self.input.len() > MAX_CHUNK_SIZE_DIGITS => {
+                    return Err(fault::Fault::Malformed("chunk size"));
+                }
+                None => self.fill_body(MIN_READ_BYTES).await?,
+            }
+        }
+    }
+
     /// Decodes the next chunk; `None` after the last one. A chunk that is much larger
     /// than `max_bytes` is refused before all of it is in the input buffer.
     async fn chunk(
