Count an incomplete chunk towards the body budget

What callers saw: a node that ends for lack of memory when many targets send large chunks at once. The budget for bodies, 24 MiB, did not know of them.

Cause: a chunk was reserved once it was whole. Up to then it was held in the input buffer, of up to 4 MiB for each connection.

Change: what has arrived of a chunk is reserved while the rest is read.

endless_answer_is_given_up, case one_chunk: with a budget of 256 KiB, 4,195,383 bytes were held before the answer was refused, and at most 320 KiB are read now.

--- a/crates/wire/src/http/connection.rs
+++ b/crates/wire/src/http/connection.rs
@@ -348,7 +348,7 @@
         loop {
             self.fill_chunk_size().await?;
             let left = body_limits.max_bytes - body.len();
-            let Some(chunk) = self.chunk(&mut decoder, left).await? else {
+            let Some(chunk) = self.chunk(&mut decoder, left, body_limits).await? else {
                 let bytes = body.freeze();
                 return Ok(Body { bytes, reservation });
             };
@@ -399,19 +399,30 @@
     }
 
     /// Decodes the next chunk; `None` after the last one. A chunk that is much larger
-    /// than `max_bytes` is refused before all of it is in the input buffer.
+    /// than `max_bytes` is refused before all of it is in the input buffer. What is
+    /// there of a large chunk counts towards the budget.
     async fn chunk(
         &mut self,
         decoder: &mut decoder::ChunkedBodyDecoder,
         max_bytes: usize,
+        body_limits: &BodyLimits,
     ) -> Result<Option<Bytes>, fault::Fault> {
+        let pending = body_limits.reserve(0)?;
+        let mut reserved = 0;
         loop {
             match decoder.decode(&mut self.input) {
                 Ok(Decoded::Some(chunk)) => return Ok(chunk),
                 Ok(_) if self.input.len() > max_bytes + MIN_READ_BYTES => {
                     return Err(fault::Fault::BodyTooLarge);
                 }
-                Ok(_) => self.fill_body(MIN_READ_BYTES).await?,
+                Ok(_) => {
+                    let needed = self.input.len().saturating_sub(MIN_READ_BYTES);
+                    if !pending.try_grow(needed.saturating_sub(reserved)) {
+                        return Err(fault::Fault::BufferFull);
+                    }
+                    reserved = reserved.max(needed);
+                    self.fill_body(MIN_READ_BYTES).await?;
+                }
                 Err(_) => return Err(fault::Fault::Malformed("chunk")),
             }
         }
--- a/crates/wire/tests/endless.rs
+++ b/crates/wire/tests/endless.rs
@@ -96,6 +96,7 @@
     "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
     "20\r\nbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb\r\n"
 )]
+#[case::one_chunk("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3fffff\r\n", "b")]
 #[case::chunk_size("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "0")]
 #[case::chunk_extension("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;", "x")]
 #[case::trailers(
