Let running work outlast a silence of the target's node

What callers saw: 502 for a non-idempotent request, and its work cancelled, because the machine of its target did not answer for 0.9 s (frozen, slow, cut off for a moment).

Cause: one unanswered probe ended all exchanges on the older connections to a node. A probe cannot tell connections that are silent for good from a node that is silent for a while; in the second case closing the connections cancels work that would have been answered. Ruled out: a longer probe timeout, which delays the case that the probe is for and only moves the boundary.

Change: an unanswered probe makes a generation of connections suspect. New exchanges use new connections, and idempotent ones in flight fail over as before. Others end when the node has answered on a new connection and not on the probed one, which shows that the old connections are silent, or with their connection or deadline. A generation that answers late is probed until its last exchange has ended.

--- a/crates/node/src/links/message.rs
+++ b/crates/node/src/links/message.rs
@@ -8,6 +8,8 @@
 use masticarch_wire::http::connection;
 use monoio::net::TcpStream;
 
+use super::probe;
+
 /// A connection to another node.
 pub type Connection = connection::Connection<TcpStream>;
 
@@ -28,8 +30,10 @@
     /// Generation of the connections to that node. A new one begins when those of the
     /// last have gone silent or were no longer used.
     pub generation: u64,
-    /// Set when the connections of this generation have gone silent, that is, a probe
-    /// was not answered.
+    /// Set when a probe of this generation was not answered.
+    pub suspect: stop::Stop,
+    /// Set when the connections of this generation are known to be silent, and not only
+    /// the node for a while.
     pub silent: stop::Stop,
     /// Kept until the exchange ends: a generation in use is not removed.
     pub in_use: Rc<()>,
@@ -43,9 +47,9 @@
     /// Returns a connection of this generation that can carry another request.
     Checkin(SocketAddr, u64, Pooled),
     /// Asks whether this generation must be probed now.
-    IsProbeDue(SocketAddr, u64, reply::Reply<bool>),
+    IsProbeDue(SocketAddr, u64, reply::Reply<probe::Due>),
     /// A probe of this generation was answered.
     Alive(SocketAddr, u64),
-    /// A probe of this generation was not answered.
-    Silent(SocketAddr, u64),
+    /// A probe of this generation was not answered: no new exchange uses it.
+    Suspect(SocketAddr, u64),
 }
--- a/crates/node/src/links/service.rs
+++ b/crates/node/src/links/service.rs
@@ -28,9 +28,10 @@
     verified: Instant,
     /// Cloned for each exchange in flight.
     in_use: Rc<()>,
+    suspect: stop::Stop,
     silent: stop::Stop,
-    // Dropped with the generation. That sets `silent`.
-    _alive: oneshot::Sender<()>,
+    // Dropped with the generation. That sets `suspect`.
+    _trusted: oneshot::Sender<()>,
 }
 
 struct Links {
@@ -78,7 +79,7 @@
                     peer.verified = Instant::now();
                 }
             }
-            message::Message::Silent(address, generation) => {
+            message::Message::Suspect(address, generation) => {
                 if self.peer_mut(address, generation).is_some() {
                     self.peers.remove(&address);
                 }
@@ -98,6 +99,7 @@
         let checkout = message::Checkout {
             connection: take_idle(&mut peer.idle),
             generation: peer.generation,
+            suspect: peer.suspect.clone(),
             silent: peer.silent.clone(),
             in_use: Rc::clone(&peer.in_use),
         };
@@ -125,15 +127,19 @@
     }
 
     /// Whether a generation must be probed; removes one that is no longer used.
-    fn is_probe_due(&mut self, address: SocketAddr, generation: u64) -> bool {
+    fn is_probe_due(&mut self, address: SocketAddr, generation: u64) -> probe::Due {
         let Some(peer) = self.peer_mut(address, generation) else {
-            return false;
+            return probe::Due::Ended;
         };
         if Rc::strong_count(&peer.in_use) == 1 && peer.last_used.elapsed() > IDLE_TIMEOUT {
             self.peers.remove(&address);
-            return false;
+            return probe::Due::Ended;
+        }
+        if peer.verified.elapsed() >= probe::INTERVAL {
+            probe::Due::Now
+        } else {
+            probe::Due::Later
         }
-        peer.verified.elapsed() >= probe::INTERVAL
     }
 
     fn peer_mut(&mut self, address: SocketAddr, generation: u64) -> Option<&mut Peer> {
@@ -143,23 +149,27 @@
 
     fn start_generation(&mut self, address: SocketAddr) -> Peer {
         self.last_generation += 1;
-        let (alive, silent) = stop::Stop::new();
-        let credential = self.options.credential.clone();
-        let probing = probe::run(address, self.last_generation, credential, self.own.clone());
-        let silenced = silent.clone();
-        drop(task::spawn(name::LINKS, async move {
-            let probing = std::pin::pin!(probing);
-            let silenced = std::pin::pin!(silenced.wait());
-            future::select(probing, silenced).await;
-        }));
+        let (trusted, suspect) = stop::Stop::new();
+        let (not_silent, silent) = stop::Stop::new();
+        let in_use = Rc::new(());
+        let generation = probe::Generation {
+            peer: address,
+            number: self.last_generation,
+            credential: self.options.credential.clone(),
+            links: self.own.clone(),
+            in_use: Rc::downgrade(&in_use),
+            silent: not_silent,
+        };
+        drop(task::spawn(name::LINKS, probe::run(generation)));
         Peer {
             generation: self.last_generation,
             idle: Vec::new(),
             last_used: Instant::now(),
             verified: Instant::now(),
-            in_use: Rc::new(()),
+            in_use,
+            suspect,
             silent,
-            _alive: alive,
+            _trusted: trusted,
         }
     }
 }
--- a/crates/node/src/peer/exchange.rs
+++ b/crates/node/src/peer/exchange.rs
@@ -19,6 +19,15 @@
 /// Largest body of an answer of another node's ledger.
 const MAX_LEDGER_ANSWER_BYTES: usize = 4096;
 
+/// How long an exchange with a node that does not answer probes goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Patience {
+    /// Until a probe is not answered.
+    UntilSuspect,
+    /// Until the connection is known to be silent while the node answers on others.
+    UntilSilent,
+}
+
 /// Runs a job at a target of another node, through that node. Dropping the future
 /// closes the connection, which cancels the job there.
 pub async fn run(
@@ -29,7 +38,14 @@
 ) -> job::Outcome {
     headers::write_entry(&mut job.request, &job.entry, &admission.route);
     let limits = services.answer_limits();
-    match send(services, address, &job.request, &limits).await {
+    // Another attempt may follow an idempotent one at once. Any other one ends with the
+    // connection only, because it may still run and be answered.
+    let patience = if admission.idempotent {
+        Patience::UntilSuspect
+    } else {
+        Patience::UntilSilent
+    };
+    match send(services, address, &job.request, &limits, patience).await {
         Ok(answer) => headers::read_outcome(answer),
         Err(refusal) => job::Outcome::refused(refusal),
     }
@@ -45,7 +61,9 @@
     let body = Bytes::from(message::encode(operation));
     let request = request::Request::new(Method::POST, Uri::from_static("/ledger"), body);
     let limits = services.body_limits(MAX_LEDGER_ANSWER_BYTES);
-    let answer = send(services, address, &request, &limits).await.ok()?;
+    let patience = Patience::UntilSuspect;
+    let answer = send(services, address, &request, &limits, patience).await;
+    let answer = answer.ok()?;
     message::decode(&answer.body).ok()
 }
 
@@ -56,6 +74,7 @@
     address: SocketAddr,
     request: &request::Request,
     limits: &connection::BodyLimits,
+    patience: Patience,
 ) -> Result<answer::Answer, refusal::Refusal> {
     let checkout = |reply| links::Message::Checkout(address, reply);
     let Ok(checked_out) = services.links.ask(checkout).await else {
@@ -67,7 +86,11 @@
         None => Box::pin(open(services, address)).await?,
     };
     let exchange = pooled.connection.exchange(request, limits);
-    let answer = match race::race(exchange, checked_out.silent.wait()).await {
+    let given_up = match patience {
+        Patience::UntilSuspect => &checked_out.suspect,
+        Patience::UntilSilent => &checked_out.silent,
+    };
+    let answer = match race::race(exchange, given_up.wait()).await {
         Either::Left(answer) => answer.map_err(|failure| refusal::Refusal::from(&failure))?,
         Either::Right(()) => return Err(silent_node()),
     };
--- a/crates/node/tests/common/proxy.rs
+++ b/crates/node/tests/common/proxy.rs
@@ -3,7 +3,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -12,6 +12,7 @@
     pub address: SocketAddr,
     /// Raised by [`Proxy::silence`]; connections of an earlier generation forward nothing.
     generation: Arc<AtomicUsize>,
+    frozen: Arc<AtomicBool>,
     /// Number of open directions, two for each connection.
     open: Arc<AtomicUsize>,
 }
@@ -21,6 +22,8 @@
     let listener = TcpListener::bind(address).unwrap();
     let generation = Arc::new(AtomicUsize::new(0));
     let open = Arc::new(AtomicUsize::new(0));
+    let frozen = Arc::new(AtomicBool::new(false));
+    let stopped = frozen.clone();
     let (shared, counted) = (generation.clone(), open.clone());
     thread::spawn(move || {
         for client in listener.incoming().flatten() {
@@ -36,9 +39,14 @@
             let started_in = shared.load(Ordering::SeqCst);
             for (from, to) in directions {
                 let (shared, counted) = (shared.clone(), counted.clone());
+                let stopped = stopped.clone();
                 counted.fetch_add(1, Ordering::SeqCst);
                 thread::spawn(move || {
-                    copy(from, to, || shared.load(Ordering::SeqCst) == started_in);
+                    let passes = || {
+                        shared.load(Ordering::SeqCst) == started_in
+                            && !stopped.load(Ordering::SeqCst)
+                    };
+                    copy(from, to, passes);
                     counted.fetch_sub(1, Ordering::SeqCst);
                 });
             }
@@ -47,6 +55,7 @@
     Proxy {
         address,
         generation,
+        frozen,
         open,
     }
 }
@@ -57,6 +66,13 @@
         self.open.load(Ordering::SeqCst) > 0
     }
 
+    /// Forwards nothing for this time, on open and on new connections.
+    pub fn freeze(&self, time: Duration) {
+        self.frozen.store(true, Ordering::SeqCst);
+        thread::sleep(time);
+        self.frozen.store(false, Ordering::SeqCst);
+    }
+
     /// Stops forwarding on the connections that are open now, without closing them.
     pub fn silence(&self) {
         self.generation.fetch_add(1, Ordering::SeqCst);
@@ -70,7 +86,7 @@
             break;
         }
         while !passes() {
-            thread::sleep(Duration::from_secs(1));
+            thread::sleep(Duration::from_millis(10));
         }
         if to.write_all(&buffer[..count]).is_err() {
             break;
--- a/crates/node/tests/links.rs
+++ b/crates/node/tests/links.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use common::{client, fleet, proxy, target};
@@ -10,14 +11,20 @@
 
 /// Two nodes, of which the second has a target and is reached through a proxy.
 fn pair_behind_proxy() -> (fleet::Node, fleet::Node, proxy::Proxy) {
+    let (near, far, proxy, _) = pair_with(target::answering(OK));
+    (near, far, proxy)
+}
+
+fn pair_with(script: target::Script) -> (fleet::Node, fleet::Node, proxy::Proxy, target::Target) {
     let control = fleet::control();
     let near = fleet::node("near", control);
     let advertised = fleet::address();
     let far = fleet::node_at("far", control, Some(advertised));
     let proxy = proxy::start(advertised, far.peer);
-    far.announce(&target::start(target::answering(OK)), 8);
+    let target = target::start(script);
+    far.announce(&target, 8);
     near.wait_for_target();
-    (near, far, proxy)
+    (near, far, proxy, target)
 }
 
 // Guards against requests that keep using connections which have gone silent while new
@@ -61,3 +68,25 @@
     assert!(used);
     assert!(!proxy.is_in_use());
 }
+
+// Guards against a non-idempotent request that is given up, and its work cancelled, because
+// the node beside its target is silent for a while.
+#[test]
+fn request_outlasts_a_silence_of_its_targets_node() {
+    let (near, _far, proxy, target) = pair_with(target::Script {
+        delay: Duration::from_millis(300),
+        ..target::answering(OK)
+    });
+    client::exchange(near.caller, &client::get("/guiones", ""));
+    let caller = near.caller;
+
+    let waiting =
+        std::thread::spawn(move || client::exchange(caller, &client::get("/alertas", "")));
+    std::thread::sleep(Duration::from_millis(100));
+    proxy.freeze(Duration::from_millis(1300));
+    let answer = waiting.join().unwrap();
+
+    assert!(answer.ends_with("hello"), "{answer}");
+    assert_eq!(target.requests.load(Ordering::SeqCst), 2);
+    assert_eq!(target.closed.load(Ordering::SeqCst), 0);
+}
