Add a soak with random faults on processes and targets

A seeded run starts three control processes and six nodes, two of them without a target, keeps clients with open connections busy on a service whose requests run once at most and on an idempotent one, and injects series of faults that overlap: planned stops, kills and freezes of nodes and control processes, and targets that state a rate limit or their leaving and are replaced. It checks that no answer is mixed up or cut off by a planned stop, that no order runs twice or after a refusal that denies it, and that targets get no more than they state. Stand-in targets state both, and echo the context.

--- a/crates/load/src/standin/announcer.rs
+++ b/crates/load/src/standin/announcer.rs
@@ -1,7 +1,7 @@
 //! The service `announcer`: announces a stand-in to its node periodically.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use http::{Method, Request};
@@ -27,6 +27,15 @@
     slots: usize,
     connections: usize,
     state: &'static str,
+    instance: Instance,
+}
+
+/// The run that is announced.
+#[derive(Debug, Serialize)]
+struct Instance {
+    id: &'static str,
+    started_ms: u64,
+    sequence: u64,
 }
 
 /// Announces the stand-in until the service stops; returns at once without an
@@ -39,9 +48,17 @@
     let Some(admin) = settings.node_admin else {
         return;
     };
+    let started_ms = unix_ms();
+    let mut sequence = 0;
     while let Ok(state) = scheduler.ask(scheduler::Message::Describe).await {
+        sequence += 1;
         if state.behaviour.announcing {
-            let announcement = announce(admin, &settings, state.behaviour.draining);
+            let instance = Instance {
+                id: "stand-in",
+                started_ms: started_ms + state.behaviour.run,
+                sequence,
+            };
+            let announcement = announce(admin, &settings, state.behaviour.draining, instance);
             let _ = monoio::time::timeout(ANSWER_TIMEOUT, announcement).await;
         }
         monoio::select! {
@@ -55,12 +72,14 @@
     admin: SocketAddr,
     settings: &settings::Settings,
     draining: bool,
+    instance: Instance,
 ) -> Result<(), error::Error> {
     let announcement = Announcement {
         address: settings.address,
         slots: settings.slots,
         connections: settings.connections,
         state: if draining { "draining" } else { "serving" },
+        instance,
     };
     let body = serde_json::to_vec(&announcement)
         .map_err(|failure| error::Error::Parse(failure.to_string()))?;
@@ -74,3 +93,10 @@
     connection::exchange(admin, request).await?;
     Ok(())
 }
+
+/// The time of day, so that a stand-in that starts again announces a later run.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let milliseconds = since.unwrap_or_default().as_millis();
+    u64::try_from(milliseconds).unwrap_or(u64::MAX / 2)
+}
--- a/crates/load/src/standin/behaviour.rs
+++ b/crates/load/src/standin/behaviour.rs
@@ -3,6 +3,10 @@
 use serde::{Deserialize, Serialize};
 
 /// Behaviour of a stand-in; the default is a healthy one at full speed.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is an independent field of the YAML form"
+)]
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Behaviour {
@@ -20,6 +24,12 @@
     /// Number of requests in flight that `GET /load` reports in place of the actual
     /// one.
     pub claimed_load: Option<usize>,
+    /// Rate limit that its answers state, in requests per second.
+    pub rate_limit: Option<f64>,
+    /// Whether its answers state that it is leaving.
+    pub leaving: bool,
+    /// Number of the run that it announces.
+    pub run: u64,
 }
 
 impl Default for Behaviour {
@@ -31,6 +41,9 @@
             announcing: true,
             healthy: true,
             claimed_load: None,
+            rate_limit: None,
+            leaving: false,
+            run: 0,
         }
     }
 }
@@ -51,6 +64,12 @@
     pub healthy: Option<bool>,
     /// New value of [`Behaviour::claimed_load`].
     pub claimed_load: Option<usize>,
+    /// New value of [`Behaviour::rate_limit`]; infinite for none.
+    pub rate_limit: Option<f64>,
+    /// New value of [`Behaviour::leaving`].
+    pub leaving: Option<bool>,
+    /// New value of [`Behaviour::run`]; a higher one announces another run.
+    pub run: Option<u64>,
 }
 
 impl Behaviour {
@@ -64,6 +83,12 @@
             announcing: change.announcing.unwrap_or(self.announcing),
             healthy: change.healthy.unwrap_or(self.healthy),
             claimed_load: change.claimed_load.or(self.claimed_load),
+            rate_limit: match change.rate_limit {
+                Some(rate) => Some(rate).filter(|rate| rate.is_finite()),
+                None => self.rate_limit,
+            },
+            leaving: change.leaving.unwrap_or(self.leaving),
+            run: change.run.unwrap_or(self.run),
         }
     }
 }
--- a/crates/load/src/standin/scheduler.rs
+++ b/crates/load/src/standin/scheduler.rs
@@ -36,6 +36,8 @@
         duration: Duration,
         /// Whether it fails after its service time.
         fails: bool,
+        /// Behaviour at its start.
+        behaviour: behaviour::Behaviour,
     },
     /// The queue is full; the request does not run.
     Refused,
@@ -140,6 +142,7 @@
         let admission = Admission::Run {
             duration: self.duration(),
             fails: self.random.f64() < self.behaviour.failure_share,
+            behaviour: self.behaviour,
         };
         if waiter.reply.send(admission).is_ok() {
             self.running += 1;
--- a/crates/load/src/standin/target.rs
+++ b/crates/load/src/standin/target.rs
@@ -3,10 +3,11 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
 use masticarch_kernel::{address, name};
+use masticarch_wire::header;
 
-use super::{calls, record, scheduler, settings};
+use super::{behaviour, calls, record, scheduler, settings};
 use crate::http::server;
 
 /// Name of the service.
@@ -47,10 +48,20 @@
                 StatusCode::SERVICE_UNAVAILABLE,
                 "queue is full",
             )),
-            scheduler::Admission::Run { duration, fails } => {
+            scheduler::Admission::Run {
+                duration,
+                fails,
+                behaviour,
+            } => {
                 let succeeded = self.run(&request, duration).await && !fails;
                 self.scheduler.send(scheduler::Message::End).await.ok()?;
-                Some(answer(succeeded, request.into_body()))
+                let context = request.headers().get(header::CONTEXT).cloned();
+                let mut answer = answer(succeeded, request.into_body());
+                state(behaviour, answer.headers_mut());
+                if let Some(context) = context {
+                    answer.headers_mut().insert(header::CONTEXT, context);
+                }
+                Some(answer)
             }
         }
     }
@@ -98,6 +109,18 @@
     }
 }
 
+/// Adds what the stand-in states about itself to an answer.
+fn state(behaviour: behaviour::Behaviour, headers: &mut HeaderMap) {
+    if let Some(rate) = behaviour.rate_limit
+        && let Ok(value) = HeaderValue::from_str(&rate.to_string())
+    {
+        headers.insert(HeaderName::from_static(header::RATE_LIMIT), value);
+    }
+    if behaviour.leaving {
+        headers.insert(header::LEAVING, HeaderValue::from_static("1"));
+    }
+}
+
 /// Builds an answer. On success it repeats the body of the request, so that callers
 /// can check that it belongs to their own request.
 fn answer(succeeded: bool, body: Bytes) -> Response<Bytes> {
--- a/crates/testsuite/src/lib.rs
+++ b/crates/testsuite/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod operation;
 pub mod raw_target;
 pub mod setup;
+pub mod soak;
 pub mod tool;
 pub mod watch;
 pub mod writer;
--- /dev/null
+++ b/crates/testsuite/tests/soak.rs
@@ -0,0 +1,251 @@
+//! Random faults on a fleet under load, and the guarantees that hold all the while.
+//!
+//! `MASTICARCH_SOAK_SEEDS=100..150` chooses the seeds; without it a few fixed ones run.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use futures::future;
+use masticarch_kernel::runtime;
+use masticarch_load::fleet::{self, objects};
+use masticarch_load::generator::{self, plan, record, team};
+use masticarch_load::standin;
+use masticarch_testsuite::{setup, soak};
+
+/// Seeds that run without a choice: the first of each mode.
+const DEFAULT_SEEDS: std::ops::Range<u64> = 0..2;
+/// Time for which faults are injected.
+const FAULT_TIME: Duration = Duration::from_secs(12);
+/// Time for which requests arrive.
+const LOAD_TIME: Duration = Duration::from_secs(16);
+/// Requests per second of each team.
+const RATE: f64 = 60.0;
+/// Window of the check of rate limits.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Time from the first statement of a rate limit to the first window.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
+/// Time after the first statement of leaving from which a target gets nothing new.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+/// Time after which a request that ends without an answer did not just cross the close of
+/// its connection.
+const CROSSING_TIME: Duration = Duration::from_millis(100);
+
+struct Run {
+    report: generator::Report,
+    history: soak::History,
+    executions: Vec<standin::record::Executions>,
+}
+
+fn seeds() -> std::ops::Range<u64> {
+    let Ok(text) = std::env::var("MASTICARCH_SOAK_SEEDS") else {
+        return DEFAULT_SEEDS;
+    };
+    let (first, last) = text
+        .split_once("..")
+        .expect("seeds are given as FIRST..LAST");
+    first.parse().unwrap()..last.parse().unwrap()
+}
+
+const fn mode(seed: u64) -> soak::Mode {
+    if seed.is_multiple_of(2) {
+        soak::Mode::Planned
+    } else {
+        soak::Mode::Any
+    }
+}
+
+/// Two entry nodes without a target, and two targets for each of the services `orders`,
+/// whose requests run once at most, and `scripts`.
+async fn fixture(seed: u64) -> (fleet::Fleet, generator::Plan) {
+    let mut objects = objects::Objects::new(seed, &["normal"]);
+    let key = objects.team("collectors", 1_000.0, 1_000);
+    objects
+        .route("orders", "normal", &["collectors"])
+        .idempotent = false;
+    objects.route("scripts", "normal", &["collectors"]);
+    let orders = setup::target("orders", 40.0);
+    let scripts = setup::target("scripts", 25.0);
+    let nodes = vec![
+        setup::bare_node(),
+        setup::bare_node(),
+        setup::node_with(orders.clone()),
+        setup::node_with(orders),
+        setup::node_with(scripts.clone()),
+        setup::node_with(scripts),
+    ];
+    let spec = fleet::Spec::builder()
+        .controls(3)
+        .nodes(nodes)
+        .seed(seed)
+        .build();
+    let fleet = setup::fleet(&spec, objects).await;
+    let plan = generator::Plan::builder()
+        .entries(fleet.callers())
+        .seed(seed)
+        .phases(vec![plan::Phase {
+            duration_ms: u64::try_from(LOAD_TIME.as_millis()).unwrap(),
+            factor: 1.0,
+        }])
+        .teams(vec![
+            load("/orders", true, &key),
+            load("/scripts", false, &key),
+        ])
+        .build();
+    (fleet, plan)
+}
+
+fn load(path: &str, once: bool, key: &str) -> generator::Team {
+    let resend = team::Resend {
+        attempts: 2,
+        backoff_ms: 100,
+        elsewhere: true,
+    };
+    let mut load = generator::Team::builder()
+        .name(path)
+        .path(path)
+        .rate(RATE)
+        .idempotency_key(once)
+        .resend(resend)
+        .build();
+    load.key = Some(key.to_owned());
+    load
+}
+
+async fn run(seed: u64) -> Run {
+    let (mut fleet, plan) = fixture(seed).await;
+    let injector = soak::Injector::new(seed, mode(seed));
+    let faults = injector.run(&mut fleet, FAULT_TIME);
+    let (report, history) = future::join(generator::run(plan), faults).await;
+    let mut executions = Vec::new();
+    for target in fleet.nodes.iter().filter_map(|node| node.target.as_ref()) {
+        executions.push(target.executions().await.unwrap());
+    }
+    Run {
+        report: report.unwrap(),
+        history,
+        executions,
+    }
+}
+
+impl Run {
+    /// Executions of a request of `orders`, at all targets.
+    fn executions_of(&self, id: record::Id) -> u64 {
+        let key = record::request_id(self.report.plan.seed, id);
+        let counts = self.executions.iter();
+        counts
+            .filter_map(|executions| executions.by_idempotency_key.get(&key))
+            .sum()
+    }
+
+    /// What breaks a guarantee, one line each.
+    fn violations(&self) -> Vec<String> {
+        let mut found = Vec::new();
+        self.check_answers(&mut found);
+        self.check_orders(&mut found);
+        for statement in &self.history.statements {
+            match statement.rate_limit {
+                Some(rate) => self.check_rate(statement, rate, &mut found),
+                None => self.check_leaving(statement, &mut found),
+            }
+        }
+        found
+    }
+
+    /// A caller gets the answer to its own request, and a planned stop cuts off none.
+    fn check_answers(&self, found: &mut Vec<String>) {
+        for record in &self.report.records {
+            let lost = record.outcome == record::Outcome::Disconnected
+                && record.ended.saturating_sub(record.sent) > CROSSING_TIME
+                && mode(self.report.plan.seed) == soak::Mode::Planned;
+            if lost || record.outcome == record::Outcome::Mismatched {
+                found.push(format!("answer: {record:?}"));
+            }
+        }
+    }
+
+    /// An order runs once at most, and not at all when every answer says so.
+    fn check_orders(&self, found: &mut Vec<String>) {
+        let mut requests: BTreeMap<record::Id, Vec<&record::Record>> = BTreeMap::new();
+        let orders = self
+            .report
+            .records
+            .iter()
+            .filter(|record| record.id.team == 0);
+        for record in orders {
+            requests.entry(record.id).or_default().push(record);
+        }
+        for (id, records) in requests {
+            let executions = self.executions_of(id);
+            let refused = records.iter().all(|record| {
+                record.ran() == Some(record::Ran::No)
+                    || record.outcome == record::Outcome::Unreachable
+            });
+            if executions > 1 || refused && executions > 0 {
+                found.push(format!("order: {executions} executions of {records:?}"));
+            }
+        }
+    }
+
+    /// A target gets at most one and a half times its stated rate, and five requests more.
+    fn check_rate(&self, statement: &soak::Statement, rate: u32, found: &mut Vec<String>) {
+        let samples = &self.history.samples[&statement.node];
+        let allowed = 1.5 * f64::from(rate) * WINDOW.as_secs_f64() + 5.0;
+        let holds = |at: Instant| {
+            at > statement.from + SETTLE_TIME && statement.to.is_none_or(|to| at < to)
+        };
+        for (index, (begin, before)) in samples.iter().enumerate() {
+            let window = samples[index..].iter();
+            let window = window.take_while(|(at, _)| *at <= *begin + WINDOW && holds(*at));
+            if let Some((_, after)) = window.last() {
+                let received = u32::try_from(after - before).unwrap();
+                if f64::from(received) > allowed {
+                    found.push(format!(
+                        "rate: {received} at {statement:?}, allowed {allowed}"
+                    ));
+                    return;
+                }
+            }
+        }
+    }
+
+    /// A target that states that it leaves gets nothing new after a while. Each outage
+    /// excuses one request of a node that may have forgotten the statement.
+    fn check_leaving(&self, statement: &soak::Statement, found: &mut Vec<String>) {
+        let samples = &self.history.samples[&statement.node];
+        let late =
+            |at: Instant| at > statement.from + DRAIN_TIME && statement.to.is_none_or(|to| at < to);
+        let mut window = samples.iter().filter(|(at, _)| late(*at));
+        let (Some((_, first)), Some((_, last))) = (window.next(), window.next_back()) else {
+            return;
+        };
+        let outages = self.history.outages.iter();
+        let outages = outages.filter(|(_, at)| *at > statement.from).count();
+        if last - first > u64::try_from(outages).unwrap() {
+            found.push(format!("leaving: {} at {statement:?}", last - first));
+        }
+    }
+}
+
+// Guards against answers that are lost, mixed up or untrue, requests that run twice, and
+// targets that get more than they state, while faults on all processes overlap.
+#[test]
+fn guarantees_hold_under_random_faults() {
+    for seed in seeds() {
+        let run = runtime::run(run(seed)).unwrap();
+
+        let violations = run.violations();
+
+        let served = run.report.requests().filter(|one| one.is_served()).count();
+        let total = run.report.requests().count();
+        println!("seed {seed}: {served} of {total} requests served");
+        let steps = run.history.steps.join("\n");
+        assert!(
+            violations.is_empty(),
+            "seed {seed}: {violations:#?}\n{steps}"
+        );
+        assert!(
+            2 * served > total,
+            "seed {seed}: {served} of {total}\n{steps}"
+        );
+    }
+}
