--- a/crates/load/src/generator/attempt.rs
+++ b/crates/load/src/generator/attempt.rs
@@ -4,13 +4,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response};
+use http::{HeaderMap, HeaderValue, Request, Response};
 use masticarch_wire::header;
 
 use super::{record, team};
 use crate::error;
 use crate::http::connection;
 
+/// Header with the entry address to which an attempt is sent; stand-ins record it.
+pub const ENTRY: &str = "x-entry";
+
 /// Result of an attempt.
 pub struct Completion {
     /// How the attempt ended.
@@ -63,9 +66,12 @@
 pub async fn run(
     address: SocketAddr,
     idle: Option<connection::Connection>,
-    request: Request<Bytes>,
+    mut request: Request<Bytes>,
     timeout: Duration,
 ) -> Completion {
+    if let Ok(entry) = HeaderValue::from_str(&address.to_string()) {
+        request.headers_mut().insert(ENTRY, entry);
+    }
     let exchange = exchange(address, idle, request);
     monoio::time::timeout(timeout, exchange)
         .await
--- a/crates/load/src/standin/record.rs
+++ b/crates/load/src/standin/record.rs
@@ -6,6 +6,8 @@
 use masticarch_wire::header;
 use serde::{Deserialize, Serialize};
 
+use crate::generator::attempt;
+
 /// Prefix of every key in the form in which its holder presents it.
 const KEY_PREFIX: &[u8] = b"mk_";
 
@@ -16,6 +18,8 @@
     pub request_id: Option<String>,
     /// Idempotency key that the request carries.
     pub idempotency_key: Option<String>,
+    /// Entry address to which the generator sent the request.
+    pub entry: Option<String>,
     /// Whether any header contains a key, which no target should receive.
     pub has_key: bool,
 }
@@ -31,6 +35,7 @@
         Self {
             request_id: text(header::REQUEST_ID),
             idempotency_key: text(header::IDEMPOTENCY_KEY),
+            entry: text(attempt::ENTRY),
             has_key: has_key(headers),
         }
     }
@@ -55,6 +60,8 @@
     pub by_request_id: BTreeMap<String, u64>,
     /// Number of executions by idempotency key.
     pub by_idempotency_key: BTreeMap<String, u64>,
+    /// Number of executions by entry address.
+    pub by_entry: BTreeMap<String, u64>,
     /// Number of requests with a header that contains a key, whether they ran or not.
     pub keys_seen: u64,
 }
@@ -66,6 +73,9 @@
         if let Some(id) = metadata.request_id {
             *self.by_request_id.entry(id).or_default() += 1;
         }
+        if let Some(entry) = metadata.entry {
+            *self.by_entry.entry(entry).or_default() += 1;
+        }
         if let Some(key) = metadata.idempotency_key {
             *self.by_idempotency_key.entry(key).or_default() += 1;
         }
--- a/crates/testsuite/src/soak.rs
+++ b/crates/testsuite/src/soak.rs
@@ -40,6 +40,17 @@
     pub to: Option<Instant>,
 }
 
+/// Executions at a target up to a moment.
+#[derive(Clone, Debug)]
+pub struct Sample {
+    /// When they were read.
+    pub at: Instant,
+    /// Their number.
+    pub total: u64,
+    /// Their number by entry address.
+    pub by_entry: BTreeMap<String, u64>,
+}
+
 /// What happened during a run.
 #[derive(Debug, Default)]
 pub struct History {
@@ -48,7 +59,7 @@
     /// Restarts and freezes of nodes, with their number.
     pub outages: Vec<(usize, Instant)>,
     /// Executions so far at the target beside each node, over time.
-    pub samples: BTreeMap<usize, Vec<(Instant, u64)>>,
+    pub samples: BTreeMap<usize, Vec<Sample>>,
     /// Every step, for the report of a failure.
     pub steps: Vec<String>,
 }
@@ -107,9 +118,13 @@
     async fn sample(&mut self, fleet: &fleet::Fleet) {
         for (node, entry) in fleet.nodes.iter().enumerate() {
             if let Some(target) = &entry.target {
-                let total = target.executions().await.unwrap().total;
+                let executions = target.executions().await.unwrap();
                 let samples = self.history.samples.entry(node).or_default();
-                samples.push((Instant::now(), total));
+                samples.push(Sample {
+                    at: Instant::now(),
+                    total: executions.total,
+                    by_entry: executions.by_entry,
+                });
             }
         }
     }
