Give the caller the outcome of the attempt that may have run

What callers saw: "not run" (503 on the platform) for an idempotent request that a target had run: the first attempt ended with a server error, or its answer was lost, and the next one was refused as not run.

Cause: the last attempt alone made the caller's answer. Ruled out: non-idempotent requests, which get no attempt after one that may have run.

Change: when no attempt is left and the last one did not run, the caller gets the outcome of the last one that may have: the target's answer, or a refusal that does not deny it.

--- a/crates/node/src/caller/handler.rs
+++ b/crates/node/src/caller/handler.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use futures::future::{self, Either};
-use masticarch_model::{attempt as model, code};
+use masticarch_model::{attempt as model, code, ran};
 use masticarch_wire::http::{answer, fault, request};
 
 use super::{attempt, claim, encode, guard, ledger};
@@ -160,7 +160,9 @@
         Ok(())
     }
 
-    /// Makes attempts until one succeeds or the gate allows no other.
+    /// Makes attempts until one succeeds or the gate allows no other. The caller then gets
+    /// the outcome of the last one that may have run, if there is one: the refusal of a
+    /// later attempt would deny that execution.
     async fn make_attempts(
         &self,
         mut guard: guard::Guard,
@@ -170,6 +172,7 @@
     ) -> Result<answer::Answer, refusal::Refusal> {
         let services = &self.services;
         let mut choice = admission.choice.clone();
+        let mut executed = None;
         loop {
             guard.begin_attempt();
             if let Some(reservation) = &mut reservation {
@@ -188,8 +191,13 @@
             let Some(next) = self.next_choice(admission, report).await else {
                 settle(reservation, &outcome);
                 guard.end(None);
+                let executed = executed.filter(|_| !may_have_run(&outcome));
+                let (outcome, choice) = executed.unwrap_or((outcome, choice));
                 return finish::<P>(outcome, admission, &choice);
             };
+            if may_have_run(&outcome) {
+                executed = Some((outcome, choice));
+            }
             choice = next;
         }
     }
@@ -256,6 +264,12 @@
         .is_ok_and(|answer| !(answer.status.is_server_error() && admission.idempotent))
 }
 
+/// Whether the target may have run the request.
+fn may_have_run(outcome: &job::Outcome) -> bool {
+    let refusal = outcome.result.as_ref().err();
+    refusal.is_none_or(|refusal| refusal.ran != ran::Ran::No)
+}
+
 fn settle(reservation: Option<reservation::Reservation>, outcome: &job::Outcome) {
     if let Some(reservation) = reservation {
         reservation.settle(&outcome.result);
--- a/crates/node/tests/path.rs
+++ b/crates/node/tests/path.rs
@@ -234,6 +234,33 @@
     assert!(answer.contains("masticarch-ran: no"), "{answer}");
 }
 
+// Guards against a refusal that denies an execution: an attempt ran and failed, and the
+// next one was refused as not run.
+#[test]
+fn refused_retry_does_not_deny_an_earlier_execution() {
+    let control = fleet::control();
+    let near = fleet::node("near", control);
+    let far = fleet::node("far", control);
+    let failing = target::start(target::answering(
+        "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 4\r\n\r\nfail",
+    ));
+    near.announce(&failing, 8);
+    far.announce(&target::Target::at(fleet::address()), 8);
+    near.wait_for_target();
+
+    for _ in 0..10 {
+        let before = failing.requests.load(Ordering::SeqCst);
+        let answer = client::exchange(near.caller, &client::get("/guiones", ""));
+        let executions = failing.requests.load(Ordering::SeqCst) - before;
+
+        let denied = answer.contains("masticarch-ran: no");
+        assert!(
+            !denied || executions == 0,
+            "{executions} executions: {answer}"
+        );
+    }
+}
+
 /// Starts a target that echoes the context of each request in its answer, and sends each
 /// answer but the first after a second copy of the one before.
 fn repeating_target() -> SocketAddr {
