Keep a statement that an earlier answer overtakes

Cause: an entry node forgot that a target is leaving, or its rate limit, when an answer without the statement arrived after one with it, although it belonged to a request that was sent before. With the leaving that is for good, because no further request would have been sent there to hear of it again; after a restart of the target's node new requests would have reached the target. Found by reading the change again.

Change: an answer to a request that was sent before the last statement ends nothing, as in the rate limit at the target's node. A rate limit that a node learns from another one now writes a line.

overtaken_answer_does_not_end_a_statement fails without the change; later_answer_ends_a_statement guards the other side.

--- a/crates/node/src/admission/local.rs
+++ b/crates/node/src/admission/local.rs
@@ -152,11 +152,14 @@
     }
 
     /// Applies the rate limit that the entry node of a request knows of, as long as the
-    /// target has not answered this node.
-    pub fn adopt_rate_limit(&mut self, per_second: f64, now: Instant) {
-        if !self.answered {
-            self.rate.record_limit(per_second, now);
+    /// target has not answered this node; returns whether it differs from the present one.
+    pub fn adopt_rate_limit(&mut self, per_second: f64, now: Instant) -> bool {
+        if self.answered {
+            return false;
         }
+        let changed = self.rate.per_second() != Some(per_second);
+        self.rate.record_limit(per_second, now);
+        changed
     }
 
     /// When the next queued request expires, or may run under the rate limit.
--- a/crates/node/src/admission/state.rs
+++ b/crates/node/src/admission/state.rs
@@ -120,8 +120,10 @@
         let Some(account) = account::Account::open(allowance) else {
             return self.deny(key, &entry, reply, code::Code::RetryBudget, now);
         };
-        if let Some(rate) = entry.rate_limit {
-            self.targets[key].adopt_rate_limit(rate, now);
+        if let Some(rate) = entry.rate_limit
+            && self.targets[key].adopt_rate_limit(rate, now)
+        {
+            tracing::info!(service = %entry.service, rate, "rate limit learnt from another node");
         }
         let waiter = waiter::Waiter {
             entry,
@@ -222,7 +224,7 @@
         if local.observe(notice, sent, now) {
             let service = &local.announced.service;
             let permits = self.counters.permits(service);
-            tracing::info!(%service, ?notice, permits, "target states another condition");
+            tracing::info!(%service, ?notice, permits, "target has changed its statement");
             self.counters.stated(service, notice.rate_limit);
         }
     }
--- a/crates/node/src/admission/summary.rs
+++ b/crates/node/src/admission/summary.rs
@@ -13,7 +13,8 @@
     pub overload: u8,
     /// Current concurrency limit of the target.
     pub limit: u32,
-    /// Requests in flight at the target.
+    /// Requests in flight at the target, or its limit while its rate limit lets no request
+    /// pass.
     pub in_flight: u32,
     /// Requests per second that the target states as its limit.
     pub rate_limit: Option<f64>,
--- a/crates/node/src/gate/statements.rs
+++ b/crates/node/src/gate/statements.rs
@@ -17,6 +17,7 @@
     pub rate_limit: Option<f64>,
     /// Its run that is leaving.
     pub leaving: Option<Box<str>>,
+    /// When the target last stated any of it.
     recorded: Instant,
 }
 
@@ -32,24 +33,34 @@
     /// Records what the report on an attempt says of its target.
     pub fn record(&mut self, endpoint: &endpoint::Endpoint, report: &report::Report, now: Instant) {
         let known = self.get(endpoint);
+        // An answer to a request that was sent before the last statement says nothing:
+        // answers on different connections overtake each other.
+        let sent = now.checked_sub(report.latency).unwrap_or(now);
+        let is_later = known.is_none_or(|known| known.recorded <= sent);
         // Without a load report nothing is known of the rate limit either.
-        let rate_limit = match report.limit {
-            Some(_) => report.rate_limit,
-            None => known.and_then(|known| known.rate_limit),
-        };
-        // A whole answer that does not mention it comes from another run.
-        let answered = report.status.is_some();
-        let leaving = report.leaving.clone().or_else(|| {
-            let known = known.filter(|_| !answered)?;
-            known.leaving.clone()
-        });
+        let ends_limit = report.limit.is_some() && is_later;
+        // A whole answer that does not mention a leaving comes from another run.
+        let ends_leaving = report.status.is_some() && is_later;
+        let kept_limit = known.filter(|_| !ends_limit);
+        let kept_leaving = known.filter(|_| !ends_leaving);
+        let rate_limit = report
+            .rate_limit
+            .or_else(|| kept_limit.and_then(|known| known.rate_limit));
+        let leaving = report
+            .leaving
+            .clone()
+            .or_else(|| kept_leaving.and_then(|known| known.leaving.clone()));
         if rate_limit.is_none() && leaving.is_none() {
             return self.remove(endpoint);
         }
+        let states = report.rate_limit.is_some() || report.leaving.is_some();
+        let recorded = known
+            .filter(|_| !states)
+            .map_or(now, |known| known.recorded);
         let statement = Statement {
             rate_limit,
             leaving,
-            recorded: now,
+            recorded,
         };
         let services = self.nodes.entry(endpoint.node.clone()).or_default();
         services.insert(endpoint.service.clone(), statement);
--- a/crates/node/tests/gate.rs
+++ b/crates/node/tests/gate.rs
@@ -403,3 +403,60 @@
     assert_eq!(first, Some(code::Code::NoTarget));
     assert_eq!(later, None);
 }
+
+// Guards against a statement of a target that is forgotten because an answer to an earlier
+// request, on another connection, arrives after it.
+#[test]
+fn overtaken_answer_does_not_end_a_statement() {
+    let choice = fixture::with_gate(true, &fixture::view(1, 1), |gate| async move {
+        let request = || fixture::request("/open", None);
+        let early = gate.begin(request()).await.unwrap();
+        monoio::time::sleep(Duration::from_millis(20)).await;
+        let late = gate.begin(request()).await.unwrap();
+        let stating = report::Report {
+            limit: Some((10, 1)),
+            rate_limit: Some(5.0),
+            leaving: Some("1-i".into()),
+            ..fixture::answered(&late.choice)
+        };
+        let overtaken = report::Report {
+            latency: Duration::from_millis(60),
+            limit: Some((10, 1)),
+            ..fixture::answered(&early.choice)
+        };
+        gate.end(&late, Some(stating)).await;
+        gate.end(&early, Some(overtaken)).await;
+        monoio::time::sleep(Duration::from_millis(300)).await;
+        gate.begin(request()).await.unwrap().choice
+    });
+
+    assert_eq!(choice.rate_limit, Some(5.0));
+    assert_eq!(choice.leaving.as_deref(), Some("1-i"));
+}
+
+// Guards against a statement that outlives the run that made it.
+#[test]
+fn later_answer_ends_a_statement() {
+    let choice = fixture::with_gate(true, &fixture::view(1, 1), |gate| async move {
+        let request = || fixture::request("/open", None);
+        let first = gate.begin(request()).await.unwrap();
+        let stating = report::Report {
+            limit: Some((10, 1)),
+            rate_limit: Some(5.0),
+            leaving: Some("1-i".into()),
+            ..fixture::answered(&first.choice)
+        };
+        gate.end(&first, Some(stating)).await;
+        monoio::time::sleep(Duration::from_millis(300)).await;
+        let second = gate.begin(request()).await.unwrap();
+        let silent = report::Report {
+            limit: Some((10, 1)),
+            ..fixture::answered(&second.choice)
+        };
+        gate.end(&second, Some(silent)).await;
+        gate.begin(request()).await.unwrap().choice
+    });
+
+    assert_eq!(choice.rate_limit, None);
+    assert_eq!(choice.leaving, None);
+}
