--- a/crates/node/src/target/run.rs
+++ b/crates/node/src/target/run.rs
@@ -22,8 +22,8 @@
 /// answer with the target, and releases the permit. Dropping the future cancels the job.
 pub async fn run<P: Protocol>(services: &services::Services, job: job::Job) -> job::Outcome {
     let started = Instant::now();
-    if let Some(run) = job.entry.leaving.clone() {
-        mark_leaving(services, &job.entry.service, Some(run)).await;
+    if job.entry.leaving.is_some() {
+        mark_leaving(services, &job.entry.service, job.entry.leaving.clone()).await;
     }
     let entry = Box::new(job.entry.clone());
     let acquire = |reply| admission::Message::Acquire(entry, reply);
@@ -103,8 +103,8 @@
             let usable_for = timeout.saturating_sub(IDLE_MARGIN);
             Instant::now() + usable_for
         });
-        let message = message::Message::Checkin(address, slot);
-        let _ = services.target.send(message).await;
+        let checkin = message::Message::Checkin(address, slot);
+        let _ = services.target.send(checkin).await;
     }
     fields::strip_hop_by_hop(&mut answer.headers);
     fields::strip_internal(&mut answer.headers);
