Show that a late announcement undoes a leaving after a restart

One of the faults that operators of similar systems report: a server that had left is in use again after a restart. It can happen here. The node beside a target orders announcements by start and sequence, but a restarted one has nothing to compare with, so that an announcement from before the leaving counts if it arrives late.

The run of a target in the replicated directory would tell, but changes the stored format. Where a target states its leaving in answers, entry nodes remember it.

--- a/crates/node/tests/common/fleet.rs
+++ b/crates/node/tests/common/fleet.rs
@@ -133,6 +133,14 @@
         });
     }
 
+    /// Announces an instance with this sequence number and state, once.
+    pub fn announce_state(&self, target: &target::Target, sequence: u64, state: &str) {
+        let instance =
+            format!(r#","instance":{{"id":"i-1","started_ms":1,"sequence":{sequence}}}"#);
+        let body = announcement(target, 400, 400, &instance);
+        assert!(announce(self.admin, &body.replace("serving", state)));
+    }
+
     /// Announces a target without renewing the announcement.
     pub fn announce_once(&self, target: &target::Target, connections: u32) {
         assert!(announce(
--- a/crates/node/tests/notices.rs
+++ b/crates/node/tests/notices.rs
@@ -148,3 +148,25 @@
     assert_eq!(target.requests.load(Ordering::SeqCst), 1);
     assert!(answer.starts_with("HTTP/1.1 204 "), "{answer}");
 }
+
+// Guards against a target that has announced its leaving and is used again, because an
+// earlier announcement arrives late, after a restart of the node beside it.
+#[test]
+fn late_announcement_does_not_undo_a_leaving_after_a_restart() {
+    let control = fleet::control();
+    let near = fleet::node("near", control);
+    let mut far = fleet::node("far", control);
+    let target = target::start(target::answering(LIMITED));
+    far.announce_state(&target, 1, "serving");
+    far.announce_state(&target, 2, "draining");
+    far.stop();
+    far.join();
+    let far = fleet::node("far", control);
+    far.announce_state(&target, 1, "serving");
+    near.wait_for_target();
+
+    let answer = client::exchange(near.caller, &client::get("/guiones", ""));
+
+    assert_eq!(target.requests.load(Ordering::SeqCst), 0);
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+}
