--- a/crates/node/src/listener.rs
+++ b/crates/node/src/listener.rs
@@ -60,11 +60,9 @@
         if configure(&stream).is_ok() {
             number = number.wrapping_add(1);
             let guard = open.enter();
-            let serving = serve(number, stream);
-            drop(task::spawn(service, async move {
-                serving.await;
-                drop(guard);
-            }));
+            // An async block would hold the future of the connection twice.
+            let serving = serve(number, stream).map(move |()| drop(guard));
+            drop(task::spawn(service, serving));
         }
     };
     let mut stopped = std::pin::pin!(stop.wait());
