--- a/crates/testsuite/src/soak.rs
+++ b/crates/testsuite/src/soak/injector.rs
@@ -1,12 +1,13 @@
-//! Random faults on the processes of a fleet and the targets beside them.
+//! Injects random faults.
 
-use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use fastrand::Rng;
 use masticarch_load::fleet;
 use masticarch_load::standin::behaviour;
 
+use super::{history, mode, repair, sample, statement};
+
 /// Range of the time between two faults, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 200..900;
 /// Range of the time for which a process is down or frozen, in milliseconds.
@@ -18,79 +19,23 @@
 /// Longest time that a process takes to stop.
 const STOP_TIMEOUT: Duration = Duration::from_secs(12);
 
-/// Which faults a run injects.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Mode {
-    /// Planned stops and statements of targets only.
-    Planned,
-    /// Also kills and freezes, of control processes too.
-    Any,
-}
-
-/// A statement that a target made during a run.
-#[derive(Clone, Copy, Debug)]
-pub struct Statement {
-    /// Number of the node beside the target.
-    pub node: usize,
-    /// Rate limit in requests per second; `None` states that the target leaves.
-    pub rate_limit: Option<u32>,
-    /// When it was first made.
-    pub from: Instant,
-    /// When it ended; `None` while it holds.
-    pub to: Option<Instant>,
-}
-
-/// Executions at a target up to a moment.
-#[derive(Clone, Debug)]
-pub struct Sample {
-    /// When they were read.
-    pub at: Instant,
-    /// Their number.
-    pub total: u64,
-    /// Their number by entry address.
-    pub by_entry: BTreeMap<String, u64>,
-}
-
-/// What happened during a run.
-#[derive(Debug, Default)]
-pub struct History {
-    /// Statements of targets.
-    pub statements: Vec<Statement>,
-    /// Restarts and freezes of nodes, with their number.
-    pub outages: Vec<(usize, Instant)>,
-    /// Executions so far at the target beside each node, over time.
-    pub samples: BTreeMap<usize, Vec<Sample>>,
-    /// Every step, for the report of a failure.
-    pub steps: Vec<String>,
-}
-
-#[derive(Clone, Copy, Debug)]
-enum Repair {
-    RestartNode(usize),
-    AwaitStop(usize),
-    ThawNode(usize),
-    RestartControl(usize),
-    ThawControl(usize),
-    NextRun(usize),
-}
-
 /// Injects faults into a fleet.
 pub struct Injector {
     rng: Rng,
-    mode: Mode,
-    history: History,
-    repairs: Vec<(Instant, Repair)>,
+    mode: mode::Mode,
+    history: history::History,
+    repairs: Vec<(Instant, repair::Repair)>,
     runs: u64,
 }
 
 impl Injector {
     /// An injector whose faults are drawn from a seed.
     #[must_use]
-    pub fn new(seed: u64, mode: Mode) -> Self {
+    pub fn new(seed: u64, mode: mode::Mode) -> Self {
         Self {
             rng: Rng::with_seed(seed),
             mode,
-            history: History::default(),
+            history: history::History::default(),
             repairs: Vec::new(),
             runs: 0,
         }
@@ -100,7 +45,7 @@
     ///
     /// # Panics
     /// When a process cannot be signalled or does not stop.
-    pub async fn run(mut self, fleet: &mut fleet::Fleet, time: Duration) -> History {
+    pub async fn run(mut self, fleet: &mut fleet::Fleet, time: Duration) -> history::History {
         let end = Instant::now() + time;
         let mut next = Instant::now();
         while Instant::now() < end || !self.repairs.is_empty() {
@@ -120,7 +65,7 @@
             if let Some(target) = &entry.target {
                 let executions = target.executions().await.unwrap();
                 let samples = self.history.samples.entry(node).or_default();
-                samples.push(Sample {
+                samples.push(sample::Sample {
                     at: Instant::now(),
                     total: executions.total,
                     by_entry: executions.by_entry,
@@ -140,16 +85,16 @@
     /// Whether a repair of this node is due later, so that it gets no further fault.
     fn is_faulty(&self, node: usize) -> bool {
         self.repairs.iter().any(|(_, repair)| {
-            matches!(repair, Repair::RestartNode(faulty) | Repair::AwaitStop(faulty)
-                | Repair::ThawNode(faulty) if *faulty == node)
+            matches!(repair, repair::Repair::RestartNode(faulty) | repair::Repair::AwaitStop(faulty)
+                | repair::Repair::ThawNode(faulty) if *faulty == node)
         })
     }
 
     async fn inject(&mut self, fleet: &mut fleet::Fleet) {
         let node = self.rng.usize(..fleet.nodes.len());
         let kinds = match self.mode {
-            Mode::Planned => 3,
-            Mode::Any => 6,
+            mode::Mode::Planned => 3,
+            mode::Mode::Any => 6,
         };
         match self.rng.u8(..kinds) {
             0 if !self.is_faulty(node) => self.stop_node(fleet, node),
@@ -166,7 +111,7 @@
         self.note(format!("stop node {node}"));
         self.history.outages.push((node, Instant::now()));
         fleet.nodes[node].process.terminate().unwrap();
-        let repair = Repair::AwaitStop(node);
+        let repair = repair::Repair::AwaitStop(node);
         self.repairs.push((Instant::now(), repair));
     }
 
@@ -175,7 +120,7 @@
         self.history.outages.push((node, Instant::now()));
         fleet.nodes[node].process.kill().unwrap();
         let at = Instant::now() + self.draw(OUTAGE_MS);
-        self.repairs.push((at, Repair::RestartNode(node)));
+        self.repairs.push((at, repair::Repair::RestartNode(node)));
     }
 
     fn freeze_node(&mut self, fleet: &fleet::Fleet, node: usize) {
@@ -183,13 +128,16 @@
         self.history.outages.push((node, Instant::now()));
         fleet.nodes[node].process.freeze().unwrap();
         let at = Instant::now() + self.draw(OUTAGE_MS);
-        self.repairs.push((at, Repair::ThawNode(node)));
+        self.repairs.push((at, repair::Repair::ThawNode(node)));
     }
 
     /// Kills or freezes a control process. The group bears the loss of one.
     fn disturb_control(&mut self, fleet: &mut fleet::Fleet) {
-        let disturbed = |(_, repair): &(Instant, Repair)| {
-            matches!(repair, Repair::RestartControl(_) | Repair::ThawControl(_))
+        let disturbed = |(_, repair): &(Instant, repair::Repair)| {
+            matches!(
+                repair,
+                repair::Repair::RestartControl(_) | repair::Repair::ThawControl(_)
+            )
         };
         if self.repairs.iter().any(disturbed) {
             return;
@@ -199,10 +147,10 @@
         let process = &mut fleet.controls[control].process;
         let repair = if self.rng.bool() {
             process.kill().unwrap();
-            Repair::RestartControl(control)
+            repair::Repair::RestartControl(control)
         } else {
             process.freeze().unwrap();
-            Repair::ThawControl(control)
+            repair::Repair::ThawControl(control)
         };
         self.note(format!("{repair:?} later"));
         self.repairs.push((at, repair));
@@ -249,12 +197,12 @@
         };
         target.change(change).await.unwrap();
         let at = Instant::now() + LEAVING_TIME;
-        self.repairs.push((at, Repair::NextRun(node)));
+        self.repairs.push((at, repair::Repair::NextRun(node)));
     }
 
     fn begin_statement(&mut self, node: usize, rate_limit: Option<u32>) {
         let from = Instant::now();
-        self.history.statements.push(Statement {
+        self.history.statements.push(statement::Statement {
             node,
             rate_limit,
             from,
@@ -272,10 +220,10 @@
         }
     }
 
-    async fn repair(&mut self, fleet: &mut fleet::Fleet, since: Instant, repair: Repair) {
+    async fn repair(&mut self, fleet: &mut fleet::Fleet, since: Instant, repair: repair::Repair) {
         match repair {
-            Repair::RestartNode(node) => fleet.nodes[node].process.restart().unwrap(),
-            Repair::AwaitStop(node) => {
+            repair::Repair::RestartNode(node) => fleet.nodes[node].process.restart().unwrap(),
+            repair::Repair::AwaitStop(node) => {
                 let process = &mut fleet.nodes[node].process;
                 if process.wait(Duration::from_millis(30)).await.is_ok() {
                     process.restart().unwrap();
@@ -285,10 +233,12 @@
                     self.history.steps.pop();
                 }
             }
-            Repair::ThawNode(node) => fleet.nodes[node].process.thaw().unwrap(),
-            Repair::RestartControl(control) => fleet.controls[control].process.restart().unwrap(),
-            Repair::ThawControl(control) => fleet.controls[control].process.thaw().unwrap(),
-            Repair::NextRun(node) => self.begin_next_run(fleet, node).await,
+            repair::Repair::ThawNode(node) => fleet.nodes[node].process.thaw().unwrap(),
+            repair::Repair::RestartControl(control) => {
+                fleet.controls[control].process.restart().unwrap();
+            }
+            repair::Repair::ThawControl(control) => fleet.controls[control].process.thaw().unwrap(),
+            repair::Repair::NextRun(node) => self.begin_next_run(fleet, node).await,
         }
     }
 
--- a/crates/testsuite/tests/soak.rs
+++ b/crates/testsuite/tests/soak.rs
@@ -10,7 +10,8 @@
 use masticarch_load::fleet::{self, objects};
 use masticarch_load::generator::{self, plan, record, team};
 use masticarch_load::standin;
-use masticarch_testsuite::{setup, soak};
+use masticarch_testsuite::setup;
+use masticarch_testsuite::soak::{history, injector, mode, sample, statement};
 
 /// Seeds that run without a choice: the first of each mode.
 const DEFAULT_SEEDS: std::ops::Range<u64> = 0..2;
@@ -32,7 +33,7 @@
 
 struct Run {
     report: generator::Report,
-    history: soak::History,
+    history: history::History,
     executions: Vec<standin::record::Executions>,
 }
 
@@ -46,11 +47,11 @@
     first.parse().unwrap()..last.parse().unwrap()
 }
 
-const fn mode(seed: u64) -> soak::Mode {
+const fn mode_of(seed: u64) -> mode::Mode {
     if seed.is_multiple_of(2) {
-        soak::Mode::Planned
+        mode::Mode::Planned
     } else {
-        soak::Mode::Any
+        mode::Mode::Any
     }
 }
 
@@ -113,7 +114,7 @@
 
 async fn run(seed: u64) -> Run {
     let (mut fleet, plan) = fixture(seed).await;
-    let injector = soak::Injector::new(seed, mode(seed));
+    let injector = injector::Injector::new(seed, mode_of(seed));
     let faults = injector.run(&mut fleet, FAULT_TIME);
     let (report, history) = future::join(generator::run(plan), faults).await;
     let mut executions = Vec::new();
@@ -156,7 +157,7 @@
         for record in &self.report.records {
             let lost = record.outcome == record::Outcome::Disconnected
                 && record.ended.saturating_sub(record.sent) > CROSSING_TIME
-                && mode(self.report.plan.seed) == soak::Mode::Planned;
+                && mode_of(self.report.plan.seed) == mode::Mode::Planned;
             if lost || record.outcome == record::Outcome::Mismatched {
                 found.push(format!("answer: {record:?}"));
             }
@@ -187,7 +188,7 @@
     }
 
     /// A target gets at most one and a half times its stated rate, and five requests more.
-    fn check_rate(&self, statement: &soak::Statement, rate: u32, found: &mut Vec<String>) {
+    fn check_rate(&self, statement: &statement::Statement, rate: u32, found: &mut Vec<String>) {
         let samples = &self.history.samples[&statement.node];
         let allowed = 1.5 * f64::from(rate) * WINDOW.as_secs_f64() + 5.0;
         let holds = |at: Instant| {
@@ -212,13 +213,13 @@
     /// A target that states that it leaves gets nothing new from a node some time after
     /// that node has passed on an answer that says so, unless the node has restarted or
     /// was frozen since.
-    fn check_leaving(&self, statement: &soak::Statement, found: &mut Vec<String>) {
+    fn check_leaving(&self, statement: &statement::Statement, found: &mut Vec<String>) {
         let holds = |at: Instant| at >= statement.from && statement.to.is_none_or(|to| at < to);
         let samples = self.history.samples[&statement.node].iter();
         let samples: Vec<_> = samples.filter(|sample| holds(sample.at)).collect();
         for (node, entry) in self.report.plan.entries.iter().enumerate() {
             let entry = entry.to_string();
-            let total = |sample: &soak::Sample| sample.by_entry.get(&entry).copied();
+            let total = |sample: &sample::Sample| sample.by_entry.get(&entry).copied();
             let total = |sample| total(sample).unwrap_or_default();
             let first = samples.first().map_or(0, |sample| total(sample));
             let Some(stated) = samples.iter().find(|sample| total(sample) > first) else {
