Log which requests ran when a target crashed

On-call could not tell which request a target ended under: the ids of copies differ, and nothing said that a target had ended. A node now groups the connections that its target closes at the same time, probes the target, and writes one line with a digest of the content, the id and the team of each request that ran there. A target that has said that it is leaving is left out. The usual path computes no digest.

No decision changed.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod origin;
 pub mod peer;
 pub mod protocol;
+pub mod quarantine;
 pub mod race;
 pub mod refusal;
 pub mod role;
--- a/crates/node/src/name.rs
+++ b/crates/node/src/name.rs
@@ -18,6 +18,8 @@
 pub const LINKS: name::Name = name::Name::new("links");
 /// Keeps announcements of, and connections to, the targets beside the node.
 pub const TARGET: name::Name = name::Name::new("target");
+/// Finds out which requests crash the targets beside the node.
+pub const QUARANTINE: name::Name = name::Name::new("quarantine");
 /// Accepts connections of callers and of local targets.
 pub const CALLER: name::Name = name::Name::new("caller");
 /// Accepts connections of other nodes.
--- a/crates/node/src/role.rs
+++ b/crates/node/src/role.rs
@@ -10,7 +10,7 @@
 use crate::protocol::{Protocol, native};
 use crate::{
     admin, admission, caller, claims, error, gate, lease, ledger, links, listener, metrics, name,
-    options, peer, services, sync, target,
+    options, peer, quarantine, services, sync, target,
 };
 
 /// Most messages that wait at a service on the path of requests.
@@ -30,6 +30,7 @@
     claims: mailbox::Mailbox<claims::message::Message>,
     links: mailbox::Mailbox<links::message::Message>,
     target: mailbox::Mailbox<target::message::Message>,
+    quarantine: mailbox::Mailbox<quarantine::message::Message>,
     sync: mailbox::Mailbox<sync::message::Message>,
 }
 
@@ -113,10 +114,15 @@
     kernel.start(name::LEDGER, |stop| {
         ledger::service::run(mailboxes.ledger, stop)
     });
+    kernel.start(name::QUARANTINE, |stop| {
+        let own = services.quarantine.clone();
+        quarantine::service::run(mailboxes.quarantine, own, metrics.clone(), stop)
+    });
     kernel.start(name::TARGET, |stop| {
         target::service::run(
             mailboxes.target,
             services.admission.clone(),
+            services.quarantine.clone(),
             options.announcement_expiry,
             stop,
         )
@@ -195,6 +201,7 @@
             claims: kernel.register(name::CLAIMS, REQUEST_MAILBOX_CAPACITY)?,
             links: kernel.register(name::LINKS, REQUEST_MAILBOX_CAPACITY)?,
             target: kernel.register(name::TARGET, REQUEST_MAILBOX_CAPACITY)?,
+            quarantine: kernel.register(name::QUARANTINE, REQUEST_MAILBOX_CAPACITY)?,
             sync: kernel.register(name::SYNC, MAILBOX_CAPACITY)?,
         })
     }
--- a/crates/node/src/services.rs
+++ b/crates/node/src/services.rs
@@ -7,8 +7,8 @@
 use masticarch_wire::http::{budget, connection};
 
 use crate::{
-    admission, claims, contacts, gate, in_flight, ledger, links, metrics, name, options, session,
-    sync, target,
+    admission, claims, contacts, gate, in_flight, ledger, links, metrics, name, options,
+    quarantine, session, sync, target,
 };
 
 /// Addresses of the services, the options, and counters and bounds over all
@@ -39,6 +39,8 @@
     pub links: address::Address<links::message::Message>,
     /// Announcements of local targets and connections to them.
     pub target: address::Address<target::message::Message>,
+    /// Requests that crash targets.
+    pub quarantine: address::Address<quarantine::message::Message>,
     /// Configuration and membership.
     pub sync: address::Address<sync::message::Message>,
 }
@@ -69,6 +71,7 @@
             claims: registry.lookup(name::CLAIMS)?,
             links: registry.lookup(name::LINKS)?,
             target: registry.lookup(name::TARGET)?,
+            quarantine: registry.lookup(name::QUARANTINE)?,
             sync: registry.lookup(name::SYNC)?,
         })
     }
--- a/crates/node/src/target/run.rs
+++ b/crates/node/src/target/run.rs
@@ -4,12 +4,13 @@
 use std::time::{Duration, Instant};
 
 use masticarch_model::{code, name, ran};
-use masticarch_wire::http::{answer, connection, fields};
+use masticarch_wire::http::{answer, connection, fault, fields};
 use masticarch_wire::socket;
 
 use super::{guard, instance, job, message, pool};
 use crate::admission::{message as admission, permit};
 use crate::protocol::{Protocol, class, delivery, notice};
+use crate::quarantine::watch;
 use crate::{refusal, services};
 
 /// Time before a target closes an idle connection from which on the connection is no
@@ -43,12 +44,13 @@
 
 async fn execute<P: Protocol>(
     services: &services::Services,
-    mut job: job::Job,
+    job: job::Job,
     permit: permit::Permit,
 ) -> job::Outcome {
     let mut guard = guard::Guard::new(services.admission.clone(), permit.call);
     let deadline = monoio::time::Instant::from_std(job.entry.deadline);
-    let exchange = exchange::<P>(services, &mut guard, &permit, &mut job);
+    let mut watch = watch::Watch::new(services.quarantine.clone(), job);
+    let exchange = exchange::<P>(services, &mut guard, &permit, &mut watch);
     let (result, end) = match monoio::time::timeout_at(deadline, exchange).await {
         Ok(Ok(answer)) => (Ok(answer), guard.answered()),
         Ok(Err(refusal)) => (Err(refusal), guard.failed()),
@@ -67,7 +69,7 @@
     services: &services::Services,
     guard: &mut guard::Guard,
     permit: &permit::Permit,
-    job: &mut job::Job,
+    watch: &mut watch::Watch,
 ) -> Result<answer::Answer, refusal::Refusal> {
     let address = permit.address;
     let mut slot = checkout(services, address).await?;
@@ -76,6 +78,7 @@
         // Boxed, because the future that opens a connection is large and rarely needed.
         None => Box::pin(open(address)).await?,
     };
+    let job = &mut watch.job;
     let delivery = delivery::Delivery {
         entry: &job.entry,
         permit,
@@ -84,18 +87,35 @@
     fields::strip_internal(&mut job.request.headers);
     P::set_target_headers(&mut job.request, &delivery);
     guard.mark_sent();
-    let exchanged = connection
-        .exchange(&job.request, &services.answer_limits())
-        .await;
-    let mut answer = exchanged.map_err(|failure| refusal::Refusal::from(&failure))?;
+    watch.mark_sent();
+    let limits = services.answer_limits();
+    let exchanged = connection.exchange(&watch.job.request, &limits).await;
+    let run = || slot.instance.as_deref().map(instance::Instance::run);
+    let mut answer = match exchanged {
+        Ok(answer) => answer,
+        Err(failure) => {
+            if is_lost(&failure) {
+                watch.report_lost(address, run()).await;
+            }
+            return Err(refusal::Refusal::from(&failure));
+        }
+    };
+    let job = &watch.job;
     let mut class = P::classify(&job.request, &answer);
     if class == class::Class::Mismatched {
         answer = matching_answer::<P>(services, &mut connection, job).await?;
         class = P::classify(&job.request, &answer);
     }
     if class != class::Class::Mismatched {
-        let run = slot.instance.as_deref().map(instance::Instance::run);
-        record_notice(services, guard, P::notice(&answer), &job.entry.service, run).await;
+        record_notice(
+            services,
+            guard,
+            P::notice(&answer),
+            &job.entry.service,
+            run(),
+        )
+        .await;
+        watch.mark_answered();
     }
     if answer.keep_alive {
         slot.connection = Some(connection);
@@ -179,6 +199,15 @@
     }
 }
 
+/// Whether a target has closed the connection on which it may have run a request.
+fn is_lost(failure: &connection::Failure) -> bool {
+    failure.sent
+        && matches!(
+            failure.fault,
+            fault::Fault::Closed | fault::Fault::Truncated
+        )
+}
+
 async fn open(address: SocketAddr) -> Result<pool::Connection, refusal::Refusal> {
     let stream = socket::connect(address).await;
     stream
--- a/crates/node/src/target/service.rs
+++ b/crates/node/src/target/service.rs
@@ -9,7 +9,7 @@
 use masticarch_model::{map, name, target};
 
 use super::{announcement, instance, message, pool};
-use crate::admission;
+use crate::{admission, quarantine};
 
 /// Default time after which a target that has not renewed its announcement is removed.
 pub const ANNOUNCEMENT_EXPIRY: Duration = Duration::from_secs(3);
@@ -23,6 +23,7 @@
 
 struct Targets {
     admission: address::Address<admission::message::Message>,
+    quarantine: address::Address<quarantine::message::Message>,
     entries: map::Map<name::Name, Entry>,
     /// The last instance of each service that has withdrawn.
     withdrawn: map::Map<name::Name, instance::Instance>,
@@ -37,11 +38,13 @@
 pub async fn run(
     mut mailbox: mailbox::Mailbox<message::Message>,
     admission: address::Address<admission::message::Message>,
+    quarantine: address::Address<quarantine::message::Message>,
     expiry: Duration,
     stop: stop::Stop,
 ) {
     let mut targets = Targets {
         admission,
+        quarantine,
         entries: map::Map::default(),
         withdrawn: map::Map::default(),
         leaving: map::Map::default(),
@@ -113,6 +116,8 @@
         }
         pool.set_max_connections(max_connections);
         let target = self.target(&service, &announcement);
+        let leaving = target.state == target::State::Draining;
+        self.notify_quarantine(service, leaving).await;
         self.notify_admission(target, Some(announcement.address))
             .await;
     }
@@ -130,6 +135,8 @@
             self.pools.remove(&previous.address);
         }
         if !previous.is_same_run(next) {
+            let restarted = quarantine::message::Message::Restarted(service.clone());
+            let _ = self.quarantine.send(restarted).await;
             self.notify_admission(previous.target(service.clone()), None)
                 .await;
         }
@@ -148,6 +155,7 @@
         tracing::info!(%service, run = run.as_deref(), "target has stated that it is leaving");
         if let Some(current) = current {
             let target = self.target(&service, &current);
+            self.notify_quarantine(service, true).await;
             self.notify_admission(target, Some(current.address)).await;
         }
     }
@@ -189,6 +197,7 @@
         if let Some(current) = current.filter(|_| id.is_some()) {
             self.withdrawn.insert(service.clone(), current);
         }
+        self.notify_quarantine(service.clone(), true).await;
         self.remove(service).await;
     }
 
@@ -221,6 +230,11 @@
         let _ = self.admission.send(message).await;
     }
 
+    async fn notify_quarantine(&self, service: name::Name, leaving: bool) {
+        let announced = quarantine::message::Message::Announced { service, leaving };
+        let _ = self.quarantine.send(announced).await;
+    }
+
     fn list(&self) -> Vec<target::Target> {
         self.entries
             .iter()
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod ledger;
 pub mod limit;
 pub mod outlier;
+pub mod quarantine;
 pub mod queue;
 pub mod retry_budget;
 pub mod route;
--- /dev/null
+++ b/crates/policy/src/quarantine/mod.rs
@@ -0,0 +1,3 @@
+//! Quarantine of requests that crash the targets that run them.
+
+pub mod fingerprint;
