--- a/crates/node/tests/common/fleet.rs
+++ b/crates/node/tests/common/fleet.rs
@@ -122,6 +122,12 @@
         self.announce_body(announcement(target, 400, 400, &instance));
     }
 
+    /// Announces the target at an address, and renews the announcement while the node
+    /// lives.
+    pub fn announce_address(&self, address: SocketAddr) {
+        self.announce(&target::Target::at(address), 400);
+    }
+
     fn announce_body(&self, body: String) {
         assert!(announce(self.admin, &body));
         let admin = self.admin;
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod client;
 pub mod control;
+pub mod crashing;
 pub mod fleet;
 pub mod proxy;
 pub mod target;
