Quarantine requests that crash the targets that run them

Cause: nothing connects a request with the end of the instance that ran it. Each copy has an id of its own, enters at any node and is admitted as new; the node beside the instance, which alone sees the end, forgot what had run there.

Ruled out: retries of one id (one id of 35 is at two ends), load (the ends have one request in common).

Change: when a target crashes, the requests that ran there are suspects. Those with most crashes before are blamed, the others are not; a completed run clears a request. After two crashes a request runs as the only such one at a target, after three, if one of them names it alone, it is refused for 30 s, doubled with each further crash up to 10 min. Nodes of a service send each other what changes, until each has acknowledged it; a node that restarts gets everything. Decisions are in masticarch-policy. A request costs nothing while there is no record, and one digest of its head while there is one; bodies are hashed for suspects only, and not kept.

--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -52,6 +52,8 @@
     AnswerNotKept,
     /// The node's budget for buffered bodies is used up.
     BufferFull,
+    /// Targets have crashed again and again while they ran the request.
+    Quarantined,
     /// The request is not valid HTTP/1.1.
     BadRequest,
     /// The request head exceeds its limits.
@@ -149,6 +151,7 @@
         Self::BadContext,
         Self::AnswerNotKept,
         Self::BufferFull,
+        Self::Quarantined,
         Self::BadRequest,
         Self::HeadTooLarge,
         Self::BodyTooLarge,
@@ -199,6 +202,7 @@
             Self::BadContext => row(1018, "bad_context", 400, ran::Ran::No),
             Self::AnswerNotKept => row(1019, "answer_not_kept", 409, ran::Ran::Yes),
             Self::BufferFull => row(1020, "buffer_full", 503, ran::Ran::No),
+            Self::Quarantined => row(1021, "quarantined", 503, ran::Ran::No),
             Self::BadRequest => row(1101, "bad_request", 400, ran::Ran::No),
             Self::HeadTooLarge => row(1102, "head_too_large", 431, ran::Ran::No),
             Self::BodyTooLarge => row(1103, "body_too_large", 413, ran::Ran::No),
--- a/crates/node/src/admin/handler.rs
+++ b/crates/node/src/admin/handler.rs
@@ -6,9 +6,11 @@
 use masticarch_model::{code, name};
 use masticarch_policy::freshness;
 use masticarch_wire::http::{answer, fault, request};
+use serde::Serialize;
 
 use super::status;
 use crate::caller::encode;
+use crate::quarantine::message as quarantine;
 use crate::sync::message as sync;
 use crate::target::{announcement, message as target};
 use crate::{refusal, services, session};
@@ -38,6 +40,7 @@
             "/health" => text(StatusCode::OK, "ok"),
             "/ready" => self.ready().await,
             "/status" => self.status().await,
+            "/quarantine" => self.quarantine().await,
             _ => text(StatusCode::NOT_FOUND, "no such path"),
         }
     }
@@ -62,16 +65,14 @@
     }
 
     async fn status(&self) -> answer::Answer {
-        let json = status::Status::read(&self.services)
-            .await
-            .and_then(|status| serde_json::to_vec(&status).ok());
-        let Some(json) = json else {
-            return text(StatusCode::SERVICE_UNAVAILABLE, "the node is stopping");
-        };
-        let mut answer = answer::Answer::new(StatusCode::OK, json);
-        let kind = HeaderValue::from_static("application/json");
-        answer.headers.insert(header::CONTENT_TYPE, kind);
-        answer
+        let status = status::Status::read(&self.services).await;
+        json(status.as_ref())
+    }
+
+    async fn quarantine(&self) -> answer::Answer {
+        let ask = quarantine::Message::Status;
+        let records = self.services.quarantine.ask(ask).await.ok();
+        json(records.as_ref())
     }
 
     async fn change_target(&self, service: &str, request: &request::Request) -> answer::Answer {
@@ -116,6 +117,17 @@
     copy.is_some_and(|copy| !copy.draining && copy.age.is_some_and(|age| age < freshness::MAX_AGE))
 }
 
+/// A state as JSON; `None` while the node stops.
+fn json<T: Serialize>(state: Option<&T>) -> answer::Answer {
+    let Some(json) = state.and_then(|state| serde_json::to_vec(state).ok()) else {
+        return text(StatusCode::SERVICE_UNAVAILABLE, "the node is stopping");
+    };
+    let mut answer = answer::Answer::new(StatusCode::OK, json);
+    let kind = HeaderValue::from_static("application/json");
+    answer.headers.insert(header::CONTENT_TYPE, kind);
+    answer
+}
+
 fn text(status: StatusCode, text: &'static str) -> answer::Answer {
     answer::Answer::new(status, text)
 }
--- a/crates/node/src/caller/handler.rs
+++ b/crates/node/src/caller/handler.rs
@@ -286,6 +286,7 @@
         Ok(answer) => Ok(complete::<P>(answer, admission)),
         Err(refusal) => Err(refusal::Refusal {
             node: Some(choice.node.clone()),
+            team: refusal.team.or_else(|| admission.team.clone()),
             ..refusal
         }),
     }
--- a/crates/node/src/peer/exchange.rs
+++ b/crates/node/src/peer/exchange.rs
@@ -1,7 +1,7 @@
 //! Client side of requests between nodes.
 
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures::future::Either;
@@ -19,6 +19,9 @@
 /// Largest body of an answer of another node's ledger.
 const MAX_LEDGER_ANSWER_BYTES: usize = 4096;
 
+/// Longest time for a node to acknowledge what it is told of the quarantine.
+const QUARANTINE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// How long an exchange with a node that does not answer probes goes on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Patience {
@@ -67,6 +70,22 @@
     message::decode(&answer.body).ok()
 }
 
+/// Tells another node what this one knows of requests that crash targets. Returns
+/// whether the other node has acknowledged it.
+pub async fn quarantine(
+    services: &services::Services,
+    address: SocketAddr,
+    batch: &message::quarantine::Batch,
+) -> bool {
+    let body = Bytes::from(message::encode(batch));
+    let request = request::Request::new(Method::POST, Uri::from_static("/quarantine"), body);
+    let limits = services.body_limits(0);
+    let patience = Patience::UntilSuspect;
+    let sent = send(services, address, &request, &limits, patience);
+    let answer = monoio::time::timeout(QUARANTINE_TIMEOUT, sent).await;
+    answer.is_ok_and(|answer| answer.is_ok_and(|answer| answer.status.is_success()))
+}
+
 /// Sends a request to another node on a pooled or a new connection and returns the
 /// answer.
 async fn send(
--- a/crates/node/src/peer/handler.rs
+++ b/crates/node/src/peer/handler.rs
@@ -15,6 +15,7 @@
 use crate::caller::encode;
 use crate::ledger::message as ledger;
 use crate::protocol::Protocol;
+use crate::quarantine::message as quarantine;
 use crate::target::{job, run};
 use crate::{refusal, services, session};
 
@@ -55,6 +56,17 @@
         }
     }
 
+    async fn quarantine(&self, body: &[u8]) -> answer::Answer {
+        let Ok(batch) = message::decode(body) else {
+            return answer::Answer::new(StatusCode::BAD_REQUEST, "");
+        };
+        let merge = quarantine::Message::Merge(batch);
+        match self.services.quarantine.send(merge).await {
+            Ok(()) => answer::Answer::new(StatusCode::NO_CONTENT, ""),
+            Err(_) => answer::Answer::new(StatusCode::SERVICE_UNAVAILABLE, ""),
+        }
+    }
+
     async fn apply(&self, operation: wire::Request) -> Option<wire::Reply> {
         match operation {
             wire::Request::Begin {
@@ -102,6 +114,7 @@
         }
         match request.uri.path() {
             "/ping" => answer::Answer::new(StatusCode::NO_CONTENT, ""),
+            "/quarantine" => self.quarantine(&request.body).await,
             "/ledger" => self.ledger(&request.body).await,
             _ => refused(&refusal::Refusal::new(
                 code::Code::BadRequest,
--- a/crates/node/src/quarantine/counters.rs
+++ b/crates/node/src/quarantine/counters.rs
@@ -1,13 +1,14 @@
 //! Metrics of the quarantine.
 
 use masticarch_model::name;
-use prometheus::{IntCounterVec, Opts};
+use prometheus::{IntCounterVec, IntGauge, Opts};
 
 use crate::metrics;
 
 /// Metrics of the quarantine.
 pub struct Counters {
     crashes: IntCounterVec,
+    quarantined: IntGauge,
 }
 
 impl Counters {
@@ -22,11 +23,25 @@
         );
         let crashes = IntCounterVec::new(options, &["service"])?;
         metrics.registry().register(Box::new(crashes.clone()))?;
-        Ok(Self { crashes })
+        let quarantined = IntGauge::new(
+            "masticarch_quarantined_requests",
+            "Requests under which targets have crashed again and again",
+        )?;
+        metrics.registry().register(Box::new(quarantined.clone()))?;
+        Ok(Self {
+            crashes,
+            quarantined,
+        })
     }
 
     /// Counts a crash of the target of a service.
     pub fn crashed(&self, service: &name::Name) {
         self.crashes.with_label_values(&[&**service]).inc();
     }
+
+    /// Sets the number of quarantined requests.
+    pub fn set_quarantined(&self, count: usize) {
+        self.quarantined
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
 }
--- a/crates/node/src/quarantine/detector.rs
+++ b/crates/node/src/quarantine/detector.rs
@@ -130,6 +130,14 @@
         })
     }
 
+    /// Whether it is not known yet if a target has crashed.
+    #[must_use]
+    pub fn is_settling(&self, service: &name::Name) -> bool {
+        let target = self.targets.get(service);
+        let outage = target.and_then(|target| target.outage.as_ref());
+        outage.is_some_and(|outage| outage.probe != Probe::Accepted)
+    }
+
     /// When [`Self::take_crash`] may return the next crash.
     pub fn wake(&self) -> Option<Instant> {
         let outages = self
--- a/crates/node/src/quarantine/service.rs
+++ b/crates/node/src/quarantine/service.rs
@@ -1,98 +1,113 @@
-//! The service that finds out which requests ran when a target beside this node crashed.
+//! The service that owns the quarantine.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Instant;
 
-use masticarch_kernel::{address, mailbox, stop, task};
+use masticarch_kernel::{mailbox, stop, task};
+use masticarch_model::name;
 use masticarch_wire::{error, socket};
 
-use super::{counters, crash, detector, message, subject};
-use crate::{event, metrics, name};
+use super::{counters, message, peers, state, subject};
+use crate::peer::exchange;
+use crate::{event, name as names, services};
 
-/// Most suspects of a crash that its line in the log names.
-const MAX_LOGGED_SUSPECTS: usize = 16;
-
-struct State {
-    own: address::Address<message::Message>,
-    counters: counters::Counters,
-    detector: detector::Detector,
+struct Quarantine {
+    services: Rc<services::Services>,
+    state: state::State,
 }
 
 /// Runs the service until asked to stop.
 pub async fn run(
     mut mailbox: mailbox::Mailbox<message::Message>,
-    own: address::Address<message::Message>,
-    metrics: metrics::Metrics,
+    services: Rc<services::Services>,
     stop: stop::Stop,
 ) {
-    let counters = match counters::Counters::new(&metrics) {
+    let counters = match counters::Counters::new(&services.metrics) {
         Ok(counters) => counters,
         Err(error) => return tracing::error!(%error, "cannot register the metrics of quarantine"),
     };
-    let mut state = State {
-        own,
-        counters,
-        detector: detector::Detector::default(),
-    };
+    let state = state::State::new(&services, counters, Instant::now());
+    let mut quarantine = Quarantine { services, state };
     loop {
-        match event::next(&mut mailbox, state.detector.wake(), &stop).await {
-            event::Event::Message(message) => state.handle(message, Instant::now()),
-            event::Event::Timer => state.tick(Instant::now()),
+        match event::next(&mut mailbox, Some(quarantine.state.wake()), &stop).await {
+            event::Event::Message(message) => quarantine.handle(message, Instant::now()),
+            event::Event::Timer => {}
             event::Event::Stop => return,
         }
+        quarantine.advance(Instant::now());
     }
 }
 
-impl State {
+impl Quarantine {
     fn handle(&mut self, message: message::Message, now: Instant) {
+        let state = &mut self.state;
         match message {
+            message::Message::Begin(subject, reply) => state.begin(*subject, reply, now),
+            message::Message::End(service) => state.end(service),
+            message::Message::Completed(fingerprint) => state.complete(fingerprint, now),
             message::Message::Lost(subject, address, run) => {
-                let service = subject.service.clone();
-                if self.detector.lost(*subject, run, now) {
-                    let own = self.own.clone();
-                    drop(task::spawn(name::QUARANTINE, async move {
-                        let accepted = accepts_connections(address).await;
-                        let _ = own.send(message::Message::Probed(service, accepted)).await;
-                    }));
-                }
+                self.lost(*subject, address, run, now);
+            }
+            message::Message::Abandoned(subject) => state.detector().abandoned(*subject, now),
+            message::Message::Probed(service, accepted) => {
+                state.detector().probed(&service, accepted);
             }
-            message::Message::Abandoned(subject) => self.detector.abandoned(*subject, now),
-            message::Message::Probed(service, accepted) => self.detector.probed(&service, accepted),
             message::Message::Announced { service, leaving } => {
-                self.detector.set_leaving(&service, leaving);
+                state.detector().set_leaving(&service, leaving);
+            }
+            message::Message::Restarted(service) => state.detector().restarted(&service),
+            message::Message::Install(directory) => state.install(&directory, now),
+            message::Message::Merge(batch) => state.merge(batch, now),
+            message::Message::Pushed(node, incarnation, acknowledged) => {
+                state.pushed(&node, incarnation, acknowledged, now);
+            }
+            message::Message::Status(reply) => {
+                let _ = reply.send(state.status(now));
             }
-            message::Message::Restarted(service) => self.detector.restarted(&service),
         }
     }
 
-    fn tick(&mut self, now: Instant) {
-        while let Some(crash) = self.detector.take_crash(now) {
-            self.counters.crashed(&crash.service);
-            log(&crash);
+    /// Handles what is due, and sends what other nodes do not have.
+    fn advance(&mut self, now: Instant) {
+        self.state.tick(now);
+        while let Some(push) = self.state.take_push(now) {
+            drop(task::spawn(
+                names::QUARANTINE,
+                send(Rc::clone(&self.services), push),
+            ));
         }
     }
-}
 
-fn log(crash: &crash::Crash) {
-    let describe = |suspect: &subject::Subject| {
-        let team = suspect.team.as_deref().unwrap_or("-");
-        format!("{}/{}/{team}", suspect.fingerprint, suspect.request)
-    };
-    let suspects = crash.suspects.iter().take(MAX_LOGGED_SUSPECTS);
-    let suspects: Vec<_> = suspects.map(describe).collect();
-    tracing::warn!(
-        service = %crash.service,
-        run = crash.run.as_deref(),
-        running = crash.suspects.len(),
-        suspects = suspects.join(" "),
-        "target crashed while it ran requests"
-    );
+    fn lost(
+        &mut self,
+        subject: subject::Subject,
+        address: SocketAddr,
+        run: Option<Box<str>>,
+        now: Instant,
+    ) {
+        let service = subject.service.clone();
+        if self.state.detector().lost(subject, run, now) {
+            let probe = probe(Rc::clone(&self.services), service, address);
+            drop(task::spawn(names::QUARANTINE, probe));
+        }
+    }
 }
 
-/// Whether something listens at an address. A target that does not respond may still run.
-async fn accepts_connections(address: SocketAddr) -> bool {
-    match socket::connect(address).await {
+/// Finds out whether something listens at the address of a target. A target that does not
+/// respond may still run.
+async fn probe(services: Rc<services::Services>, service: name::Name, address: SocketAddr) {
+    let accepted = match socket::connect(address).await {
         Ok(_) | Err(error::Error::Timeout) => true,
         Err(_) => false,
-    }
+    };
+    let probed = message::Message::Probed(service, accepted);
+    let _ = services.quarantine.send(probed).await;
+}
+
+async fn send(services: Rc<services::Services>, push: peers::Push) {
+    let sent = exchange::quarantine(&services, push.address, &push.batch).await;
+    let acknowledged = sent.then_some(push.version);
+    let pushed = message::Message::Pushed(push.node, push.incarnation, acknowledged);
+    let _ = services.quarantine.send(pushed).await;
 }
--- a/crates/node/src/quarantine/subject.rs
+++ b/crates/node/src/quarantine/subject.rs
@@ -1,9 +1,9 @@
-//! A request whose run may have crashed its target.
+//! A request whose run may crash its target.
 
 use masticarch_model::name;
-use masticarch_policy::quarantine::fingerprint;
+use masticarch_policy::quarantine::{fingerprint, suspect};
 
-/// A request that runs or ran at a target.
+/// A request that runs, ran or is about to run at a target.
 #[derive(Clone, Debug)]
 pub struct Subject {
     /// Identity of its content.
@@ -15,3 +15,14 @@
     /// Team of the root request.
     pub team: Option<name::Name>,
 }
+
+impl Subject {
+    /// The request as a suspect of a crash.
+    #[must_use]
+    pub fn suspect(&self) -> suspect::Suspect {
+        suspect::Suspect {
+            fingerprint: self.fingerprint,
+            request: self.request.clone(),
+        }
+    }
+}
--- a/crates/node/src/role.rs
+++ b/crates/node/src/role.rs
@@ -100,7 +100,7 @@
 fn start_stateful<P: Protocol>(
     kernel: &mut kernel::Kernel,
     mailboxes: Mailboxes,
-    services: &services::Services,
+    services: &Rc<services::Services>,
 ) {
     let options = &services.options;
     let metrics = &services.metrics;
@@ -115,8 +115,7 @@
         ledger::service::run(mailboxes.ledger, stop)
     });
     kernel.start(name::QUARANTINE, |stop| {
-        let own = services.quarantine.clone();
-        quarantine::service::run(mailboxes.quarantine, own, metrics.clone(), stop)
+        quarantine::service::run(mailboxes.quarantine, Rc::clone(services), stop)
     });
     kernel.start(name::TARGET, |stop| {
         target::service::run(
@@ -187,6 +186,7 @@
         metrics: services.metrics.clone(),
         own: services.sync.clone(),
         gate: services.gate.clone(),
+        quarantine: services.quarantine.clone(),
         target: services.target.clone(),
         admission: services.admission.clone(),
     }
--- a/crates/node/src/services.rs
+++ b/crates/node/src/services.rs
@@ -41,6 +41,8 @@
     pub target: address::Address<target::message::Message>,
     /// Requests that crash targets.
     pub quarantine: address::Address<quarantine::message::Message>,
+    /// Requests that the quarantine may know.
+    pub suspects: quarantine::filter::Filter,
     /// Configuration and membership.
     pub sync: address::Address<sync::message::Message>,
 }
@@ -71,6 +73,7 @@
             claims: registry.lookup(name::CLAIMS)?,
             links: registry.lookup(name::LINKS)?,
             target: registry.lookup(name::TARGET)?,
+            suspects: quarantine::filter::Filter::default(),
             quarantine: registry.lookup(name::QUARANTINE)?,
             sync: registry.lookup(name::SYNC)?,
         })
--- a/crates/node/src/sync/service.rs
+++ b/crates/node/src/sync/service.rs
@@ -9,7 +9,9 @@
 use masticarch_wire::message::sync;
 
 use super::{home, message, poll};
-use crate::{admission, contacts, gate, leader, metrics, name, options, target as local};
+use crate::{
+    admission, contacts, gate, leader, metrics, name, options, quarantine, target as local,
+};
 
 /// Longest time for which the leader holds a request while there is no change.
 const MAX_HOLD_MS: u32 = 600;
@@ -28,6 +30,8 @@
     pub own: address::Address<message::Message>,
     /// Receives every compiled directory.
     pub gate: address::Address<gate::message::Message>,
+    /// Receives every compiled directory.
+    pub quarantine: address::Address<quarantine::message::Message>,
     /// Lists the announced local targets.
     pub target: address::Address<local::message::Message>,
     /// Reports the load of the local targets.
@@ -177,6 +181,9 @@
             self.directory = Rc::new(directory::Directory::new(&self.view));
             self.homes = home::Homes::new(&self.directory);
             self.context.contacts.update_members(&self.view.control);
+            let directory = Rc::clone(&self.directory);
+            let install = quarantine::message::Message::Install(directory);
+            let _ = self.context.quarantine.send(install).await;
             gate::message::Message::Install(Rc::clone(&self.directory), sent)
         } else {
             gate::message::Message::Current(sent)
--- a/crates/node/src/target/run.rs
+++ b/crates/node/src/target/run.rs
@@ -26,7 +26,11 @@
     if job.entry.leaving.is_some() {
         mark_leaving(services, &job.entry.service, job.entry.leaving.clone()).await;
     }
-    let entry = Box::new(job.entry.clone());
+    let watch = match watch::Watch::begin(services, job).await {
+        Ok(watch) => watch,
+        Err(refusal) => return job::Outcome::refused(refusal),
+    };
+    let entry = Box::new(watch.job.entry.clone());
     let acquire = |reply| admission::Message::Acquire(entry, reply);
     let permit = match services.admission.ask(acquire).await {
         Ok(Ok(permit)) => permit,
@@ -39,17 +43,16 @@
         Err(_) => return job::Outcome::refused(refusal::Refusal::draining()),
     };
     services.metrics.queued(started.elapsed());
-    execute::<P>(services, job, permit).await
+    execute::<P>(services, watch, permit).await
 }
 
 async fn execute<P: Protocol>(
     services: &services::Services,
-    job: job::Job,
+    mut watch: watch::Watch,
     permit: permit::Permit,
 ) -> job::Outcome {
     let mut guard = guard::Guard::new(services.admission.clone(), permit.call);
-    let deadline = monoio::time::Instant::from_std(job.entry.deadline);
-    let mut watch = watch::Watch::new(services.quarantine.clone(), job);
+    let deadline = monoio::time::Instant::from_std(watch.job.entry.deadline);
     let exchange = exchange::<P>(services, &mut guard, &permit, &mut watch);
     let (result, end) = match monoio::time::timeout_at(deadline, exchange).await {
         Ok(Ok(answer)) => (Ok(answer), guard.answered()),
--- a/crates/node/tests/quarantine.rs
+++ b/crates/node/tests/quarantine.rs
@@ -59,6 +59,7 @@
     }
 }
 
+// Guards against one request that ends all targets of a service, one after the other.
 #[test]
 fn copies_of_a_request_do_not_crash_target_after_target() {
     let fleet = fleet(3);
--- /dev/null
+++ b/crates/policy/src/quarantine/record.rs
@@ -0,0 +1,135 @@
+//! Crashes under the runs of one request.
+
+use std::time::{Duration, Instant};
+
+use masticarch_model::name;
+
+use super::{crash, verdict};
+
+/// Crashes from which on a request runs in isolation.
+const ISOLATION_CRASHES: usize = 2;
+/// Crashes from which on a request is quarantined, if one of them is conclusive.
+pub const QUARANTINE_CRASHES: usize = 3;
+/// Length of the first quarantine. Each further crash doubles it.
+const MIN_QUARANTINE: Duration = Duration::from_secs(30);
+/// Longest quarantine, without its spread.
+const MAX_QUARANTINE: Duration = Duration::from_mins(10);
+/// Part of its length by which nodes prolong a quarantine at random, so that one of them
+/// tries the request before the others.
+const QUARANTINE_SPREAD: f64 = 0.5;
+/// Most crashes that are kept.
+const MAX_CRASHES: usize = 8;
+/// Time after the last crash, or the end of the quarantine, at which a record is dropped.
+const RETENTION: Duration = Duration::from_mins(10);
+/// Time for which a cleared record is kept, so that a late report does not bring it back.
+const CLEARED_RETENTION: Duration = Duration::from_secs(30);
+
+/// Crashes under the runs of one request.
+#[derive(Clone, Debug)]
+pub struct Record {
+    /// Service of the targets.
+    pub service: name::Name,
+    /// The latest crashes, in the order in which this node learnt of them.
+    pub crashes: Vec<crash::Crash>,
+    /// Version of the table at the last change that this node made; 0 when it has only
+    /// learnt of changes from other nodes.
+    pub version: u64,
+    /// Last change.
+    pub changed: Instant,
+    /// Where the end of the quarantine lies in its random spread, from 0 to 1.
+    pub spread: f64,
+}
+
+impl Record {
+    /// A record without crashes.
+    #[must_use]
+    pub const fn new(service: name::Name, now: Instant) -> Self {
+        Self {
+            service,
+            crashes: Vec::new(),
+            version: 0,
+            changed: now,
+            spread: 0.0,
+        }
+    }
+
+    /// Crashes that count against the request.
+    pub fn open_crashes(&self) -> impl Iterator<Item = &crash::Crash> {
+        self.crashes.iter().filter(|crash| !crash.cleared)
+    }
+
+    /// Number of crashes that count against the request.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.open_crashes().count()
+    }
+
+    /// Whether the evidence is enough for a quarantine.
+    #[must_use]
+    pub fn is_convicted(&self) -> bool {
+        self.count() >= QUARANTINE_CRASHES && self.open_crashes().any(|crash| crash.conclusive)
+    }
+
+    /// End of the quarantine; `None` without one.
+    #[must_use]
+    pub fn quarantined_until(&self) -> Option<Instant> {
+        let last = self.open_crashes().map(|crash| crash.at).max()?;
+        self.is_convicted().then(|| last + self.quarantine())
+    }
+
+    /// Decision on the request.
+    #[must_use]
+    pub fn verdict(&self, now: Instant) -> verdict::Verdict {
+        match self.quarantined_until() {
+            Some(until) if until > now => verdict::Verdict::Refuse(until - now),
+            _ if self.count() >= ISOLATION_CRASHES => verdict::Verdict::Isolate,
+            _ => verdict::Verdict::Pass,
+        }
+    }
+
+    /// Adds a crash, or merges what another node knows of a known one. Returns whether
+    /// anything has changed.
+    pub fn add(&mut self, crash: crash::Crash) -> bool {
+        let known = self.crashes.iter_mut().find(|known| known.id == crash.id);
+        if let Some(known) = known {
+            let changed = crash.cleared && !known.cleared || crash.conclusive && !known.conclusive;
+            known.cleared |= crash.cleared;
+            known.conclusive |= crash.conclusive;
+            return changed;
+        }
+        if self.crashes.len() >= MAX_CRASHES {
+            self.crashes.remove(0);
+        }
+        self.crashes.push(crash);
+        true
+    }
+
+    /// Clears the request of all crashes. Returns whether any counted against it.
+    pub fn clear(&mut self) -> bool {
+        let open = self.count() > 0;
+        for crash in &mut self.crashes {
+            crash.cleared = true;
+        }
+        open
+    }
+
+    /// Whether the record is of no more use.
+    #[must_use]
+    pub fn is_expired(&self, now: Instant) -> bool {
+        let retention = if self.count() == 0 {
+            CLEARED_RETENTION
+        } else {
+            RETENTION
+        };
+        let from = self.quarantined_until().unwrap_or(self.changed);
+        now.saturating_duration_since(from) >= retention
+    }
+
+    fn quarantine(&self) -> Duration {
+        let doublings = self.count().saturating_sub(QUARANTINE_CRASHES);
+        let doublings = u32::try_from(doublings).unwrap_or(u32::MAX);
+        let length = MIN_QUARANTINE.saturating_mul(2_u32.saturating_pow(doublings));
+        let length = length.min(MAX_QUARANTINE);
+        length.mul_f64(QUARANTINE_SPREAD.mul_add(self.spread, 1.0))
+    }
+}
--- a/crates/wire/src/message/mod.rs
+++ b/crates/wire/src/message/mod.rs
@@ -4,6 +4,7 @@
 pub mod lease;
 pub mod ledger;
 pub mod operator;
+pub mod quarantine;
 pub mod status;
 pub mod sync;
 
