--- a/crates/node/src/options.rs
+++ b/crates/node/src/options.rs
@@ -5,6 +5,7 @@
 
 use bon::Builder;
 use masticarch_model::{name, place};
+use masticarch_policy::quarantine::record;
 use masticarch_policy::retry_budget;
 use masticarch_wire::handshake;
 
@@ -60,6 +61,10 @@
     /// new requests, so that callers notice and go elsewhere.
     #[builder(default)]
     pub linger: Duration,
+    /// Time for which a request is refused once three targets have crashed under it. It
+    /// doubles with each further crash.
+    #[builder(default = record::MIN_QUARANTINE)]
+    pub min_quarantine: Duration,
     /// Limits of the retries to each service over the whole fleet. When absent, only
     /// the retry credit of each request bounds them.
     pub retry_limits: Option<retry_budget::Limits>,
--- a/crates/node/src/quarantine/state.rs
+++ b/crates/node/src/quarantine/state.rs
@@ -60,7 +60,7 @@
             filter: services.suspects.clone(),
             crashes: 0,
             detector: detector::Detector::default(),
-            table: table::Table::default(),
+            table: table::Table::new(services.options.min_quarantine),
             isolations: map::Map::default(),
             unsettled: map::Set::default(),
             peers: peers::Peers::default(),
--- a/crates/node/tests/common/crashing.rs
+++ b/crates/node/tests/common/crashing.rs
@@ -7,8 +7,12 @@
 use std::thread;
 use std::time::Duration;
 
+use super::client;
+
 /// Part of the path of a request that crashes the target.
 pub const DEADLY: &str = "deadly";
+/// Part of the path of a request that sends the path in its query as a sub-call.
+pub const CALL: &str = "call";
 /// Part of the path of a request that takes [`SLOW_TIME`].
 pub const SLOW: &str = "slow";
 /// Time that a slow request takes.
@@ -26,6 +30,8 @@
     pub crashes: Arc<AtomicUsize>,
     /// Requests answered so far.
     pub answered: Arc<AtomicUsize>,
+    /// Caller port of the node that sub-calls are sent to.
+    pub node: Arc<Mutex<Option<SocketAddr>>>,
     /// Whether deadly requests are answered from now on.
     pub mended: Arc<AtomicBool>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
@@ -39,6 +45,7 @@
         address: listener.local_addr().unwrap(),
         crashes: Arc::default(),
         answered: Arc::default(),
+        node: Arc::default(),
         mended: Arc::default(),
         streams: Arc::default(),
         crash: Arc::default(),
@@ -93,6 +100,15 @@
             }
             let head = String::from_utf8_lossy(&buffer).into_owned();
             buffer.clear();
+            if head.contains(CALL) {
+                let answer = self.call(&head);
+                let length = answer.len();
+                let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
+                if stream.write_all((head + &answer).as_bytes()).is_err() {
+                    return;
+                }
+                continue;
+            }
             if head.contains(SLOW) {
                 thread::sleep(SLOW_TIME);
             }
@@ -107,4 +123,15 @@
             self.answered.fetch_add(1, Ordering::SeqCst);
         }
     }
+
+    /// Sends the sub-call that a request asks for, and returns its answer.
+    fn call(&self, head: &str) -> String {
+        let path = head.split(['?', ' ']).nth(2).unwrap();
+        let context = head
+            .lines()
+            .find(|line| line.starts_with("masticarch-context"));
+        let call = client::get(path, &format!("{}\r\n", context.unwrap()));
+        let node = self.node.lock().unwrap().unwrap();
+        client::exchange(node, &call)
+    }
 }
--- a/crates/node/tests/common/fleet.rs
+++ b/crates/node/tests/common/fleet.rs
@@ -18,6 +18,9 @@
 /// Time between announcements of a target.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Length of the first quarantine of a request.
+const MIN_QUARANTINE: Duration = Duration::from_secs(4);
+
 /// A running node.
 pub struct Node {
     pub caller: SocketAddr,
@@ -78,6 +81,7 @@
         .credential(credential())
         .max_request_bytes(1000)
         .max_answer_bytes(1000)
+        .min_quarantine(MIN_QUARANTINE)
         .build();
     let (sender, receiver) = mpsc::channel();
     let builder = thread::Builder::new().name(format!("node-{name}"));
--- a/crates/policy/src/quarantine/record.rs
+++ b/crates/policy/src/quarantine/record.rs
@@ -10,8 +10,8 @@
 const ISOLATION_CRASHES: usize = 2;
 /// Crashes from which on a request is quarantined, if one of them is conclusive.
 pub const QUARANTINE_CRASHES: usize = 3;
-/// Length of the first quarantine. Each further crash doubles it.
-const MIN_QUARANTINE: Duration = Duration::from_secs(30);
+/// Default length of the first quarantine. Each further crash doubles it.
+pub const MIN_QUARANTINE: Duration = Duration::from_secs(30);
 /// Longest quarantine, without its spread.
 const MAX_QUARANTINE: Duration = Duration::from_mins(10);
 /// Part of its length by which nodes prolong a quarantine at random, so that one of them
@@ -34,6 +34,8 @@
     /// Version of the table at the last change that this node made; 0 when it has only
     /// learnt of changes from other nodes.
     pub version: u64,
+    /// Length of the first quarantine.
+    pub min_quarantine: Duration,
     /// Last change.
     pub changed: Instant,
     /// Where the end of the quarantine lies in its random spread, from 0 to 1.
@@ -43,11 +45,12 @@
 impl Record {
     /// A record without crashes.
     #[must_use]
-    pub const fn new(service: name::Name, now: Instant) -> Self {
+    pub const fn new(service: name::Name, min_quarantine: Duration, now: Instant) -> Self {
         Self {
             service,
             crashes: Vec::new(),
             version: 0,
+            min_quarantine,
             changed: now,
             spread: 0.0,
         }
@@ -128,7 +131,9 @@
     fn quarantine(&self) -> Duration {
         let doublings = self.count().saturating_sub(QUARANTINE_CRASHES);
         let doublings = u32::try_from(doublings).unwrap_or(u32::MAX);
-        let length = MIN_QUARANTINE.saturating_mul(2_u32.saturating_pow(doublings));
+        let length = self
+            .min_quarantine
+            .saturating_mul(2_u32.saturating_pow(doublings));
         let length = length.min(MAX_QUARANTINE);
         length.mul_f64(QUARANTINE_SPREAD.mul_add(self.spread, 1.0))
     }
--- a/crates/policy/src/quarantine/table.rs
+++ b/crates/policy/src/quarantine/table.rs
@@ -1,6 +1,6 @@
 //! The requests that have run at targets when they crashed.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use masticarch_model::{map, name};
 
@@ -16,13 +16,25 @@
 
 /// The requests that have run at targets when they crashed. Each node has a table; they
 /// exchange what they add to it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Table {
+    min_quarantine: Duration,
     records: map::Map<fingerprint::Fingerprint, record::Record>,
     version: u64,
 }
 
 impl Table {
+    /// A table without records. `min_quarantine` is the length of the first quarantine of a
+    /// request.
+    #[must_use]
+    pub fn new(min_quarantine: Duration) -> Self {
+        Self {
+            min_quarantine,
+            records: map::Map::default(),
+            version: 0,
+        }
+    }
+
     /// Decision on a request.
     #[must_use]
     pub fn verdict(&self, fingerprint: fingerprint::Fingerprint, now: Instant) -> verdict::Verdict {
@@ -158,9 +170,10 @@
         if self.records.len() >= MAX_RECORDS && !self.records.contains_key(&fingerprint) {
             self.evict();
         }
+        let min_quarantine = self.min_quarantine;
         self.records
             .entry(fingerprint)
-            .or_insert_with(|| record::Record::new(service.clone(), now))
+            .or_insert_with(|| record::Record::new(service.clone(), min_quarantine, now))
     }
 
     /// Drops the oldest of the records with the fewest crashes.
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -6,7 +6,6 @@
 use masticarch_policy::quarantine::{crash, fingerprint, suspect, table, verdict};
 
 const SECOND: Duration = Duration::from_secs(1);
-/// Requests that are under no crash with another one.
 const DEADLY: u128 = 1;
 const HARMLESS: u128 = 2;
 
@@ -20,7 +19,7 @@
 impl Fixture {
     fn new() -> Self {
         Self {
-            table: table::Table::default(),
+            table: table::Table::new(30 * SECOND),
             crashes: 0,
             start: Instant::now(),
         }
