Add a soak with requests that crash their targets

Stand-ins can crash: at the end of a request whose path ends in /deadly, or when a test asks for it. They end all connections, and announce another run when they are back. The soak sends copies of a deadly request, copies of a popular one and others, beside kills, freezes and stops of nodes, crashes of targets and losses of control processes, and checks how often targets crash and that only the deadly request is quarantined.

--- a/crates/load/src/generator/attempt.rs
+++ b/crates/load/src/generator/attempt.rs
@@ -22,12 +22,13 @@
     pub connection: Option<connection::Connection>,
 }
 
-/// Builds the request with the given id; all attempts of a request are equal.
+/// Builds the request with the given id. All attempts of a request are equal.
 ///
 /// # Errors
 /// [`error::Error::Parse`] when the path or a header value is not valid in HTTP.
 pub fn request(team: &team::Team, id: &str) -> Result<Request<Bytes>, error::Error> {
-    let body = body(id, team.body_bytes);
+    let content = if team.copies { &team.name } else { id };
+    let body = body(content, team.body_bytes);
     let mut builder = Request::post(&team.path).header(http::header::HOST, "masticarch");
     let optional = [
         (header::KEY, team.key.clone()),
@@ -53,10 +54,10 @@
         .map_err(|failure| error::Error::Parse(failure.to_string()))
 }
 
-/// A body that differs between requests, so that an answer to another request is
-/// detected. It starts with the id and is padded to the given length.
-fn body(id: &str, bytes: usize) -> Bytes {
-    let mut body = id.as_bytes().to_vec();
+/// A body that differs between requests that are no copies, so that an answer to another
+/// request is detected. It starts with the given text and is padded to the given length.
+fn body(text: &str, bytes: usize) -> Bytes {
+    let mut body = text.as_bytes().to_vec();
     body.resize(bytes.max(body.len()), b'.');
     body.into()
 }
--- a/crates/load/src/generator/team.rs
+++ b/crates/load/src/generator/team.rs
@@ -53,6 +53,10 @@
     #[serde(default)]
     #[builder(default)]
     pub body_bytes: usize,
+    /// Whether all requests have the same body, so that they are copies of one request.
+    #[serde(default)]
+    #[builder(default)]
+    pub copies: bool,
     /// Indices of the plan's entry addresses that are used in turn (round robin);
     /// all when empty.
     #[serde(default)]
--- a/crates/load/src/standin/handle.rs
+++ b/crates/load/src/standin/handle.rs
@@ -5,7 +5,7 @@
 use masticarch_kernel::{address, kernel};
 use monoio::net::TcpListener;
 
-use super::{announcer, behaviour, control, record, scheduler, settings, target};
+use super::{announcer, behaviour, control, crash, record, scheduler, settings};
 use crate::error;
 use crate::http::server;
 
@@ -16,6 +16,7 @@
 pub struct Handle {
     kernel: kernel::Kernel,
     scheduler: address::Address<scheduler::Message>,
+    crash: address::Address<crash::Message>,
 }
 
 impl Handle {
@@ -33,10 +34,12 @@
             .lookup::<scheduler::Message>(scheduler::NAME)?;
         let state = scheduler::Scheduler::new(settings.clone(), Instant::now());
         kernel.start(scheduler::NAME, |stop| state.run(mailbox, stop));
-        let handler = target::Target::new(settings.clone(), address.clone());
-        let max_connections = settings.connections;
-        kernel.start(target::NAME, |stop| {
-            server::serve(requests, max_connections, handler, stop)
+        let crashes = kernel.register::<crash::Message>(crash::NAME, MAILBOX_CAPACITY)?;
+        let crash = kernel.registry().lookup::<crash::Message>(crash::NAME)?;
+        let (own, scheduler) = (settings.clone(), address.clone());
+        let mailbox = (crash.clone(), crashes);
+        kernel.start(crash::NAME, |stop| {
+            crash::serve(own, requests, mailbox, scheduler, stop)
         });
         let handler = control::Control::new(address.clone());
         kernel.start(control::NAME, |stop| {
@@ -49,6 +52,7 @@
         Ok(Self {
             kernel,
             scheduler: address,
+            crash,
         })
     }
 
@@ -58,6 +62,12 @@
         self.scheduler.clone()
     }
 
+    /// Mailbox address that takes crashes, which other threads may use.
+    #[must_use]
+    pub fn crash(&self) -> address::Address<crash::Message> {
+        self.crash.clone()
+    }
+
     /// Changes the behaviour and returns the new one.
     ///
     /// # Errors
--- a/crates/load/src/standin/mod.rs
+++ b/crates/load/src/standin/mod.rs
@@ -2,13 +2,14 @@
 //! failures can be changed while it runs.
 //!
 //! Its kernel services are `work` (the scheduler of slots, queue and records),
-//! `target` (listener for requests), `control` (listener for changes) and
+//! `target` (listener for requests, which can crash), `control` (listener for changes) and
 //! `announcer`.
 
 pub mod announcer;
 pub mod behaviour;
 pub mod calls;
 pub mod control;
+pub mod crash;
 pub mod distribution;
 pub mod handle;
 pub mod record;
--- a/crates/load/src/standin/record.rs
+++ b/crates/load/src/standin/record.rs
@@ -56,6 +56,9 @@
 pub struct Executions {
     /// Number of executions.
     pub total: u64,
+    /// Number of crashes.
+    #[serde(default)]
+    pub crashes: u64,
     /// Number of executions by root request id.
     pub by_request_id: BTreeMap<String, u64>,
     /// Number of executions by idempotency key.
--- a/crates/load/src/standin/scheduler.rs
+++ b/crates/load/src/standin/scheduler.rs
@@ -19,6 +19,10 @@
     Begin(record::Metadata, reply::Reply<Admission>),
     /// Releases the slot of a request that has ended.
     End,
+    /// The stand-in has crashed: it announces nothing, and later its next run.
+    Crashed,
+    /// The stand-in runs again.
+    Restarted,
     /// Changes the behaviour and replies with the new one.
     Change(behaviour::Change, reply::Reply<behaviour::Behaviour>),
     /// Replies with behaviour and load.
@@ -104,6 +108,12 @@
         match message {
             Message::Begin(metadata, reply) => self.begin(metadata, reply),
             Message::End => self.end(),
+            Message::Crashed => {
+                self.executions.crashes += 1;
+                self.behaviour.announcing = false;
+                self.behaviour.run += 1;
+            }
+            Message::Restarted => self.behaviour.announcing = true,
             Message::Change(change, reply) => {
                 self.behaviour = self.behaviour.with(change);
                 let _ = reply.send(self.behaviour);
--- a/crates/load/src/standin/target.rs
+++ b/crates/load/src/standin/target.rs
@@ -1,35 +1,39 @@
-//! The service `target`: executes the requests to a stand-in.
+//! Executes the requests to a stand-in.
 
 use std::rc::Rc;
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
-use masticarch_kernel::{address, name};
+use masticarch_kernel::{address, stop};
 use masticarch_wire::header;
 
-use super::{behaviour, calls, record, scheduler, settings};
+use super::{behaviour, calls, crash, record, scheduler, settings};
 use crate::http::server;
 
-/// Name of the service.
-pub const NAME: name::Name = name::Name::new("target");
-
 /// Handler that executes each request in a slot of the stand-in.
 #[derive(Clone)]
 pub struct Target {
     settings: Rc<settings::Settings>,
     scheduler: address::Address<scheduler::Message>,
+    crash: address::Address<crash::Message>,
+    ended: stop::Stop,
 }
 
 impl Target {
-    /// Creates a handler that asks the scheduler for slots.
+    /// Creates a handler that asks the scheduler for slots. It answers nothing once the
+    /// run of the stand-in has ended.
     #[must_use]
     pub fn new(
         settings: settings::Settings,
         scheduler: address::Address<scheduler::Message>,
+        crash: address::Address<crash::Message>,
+        ended: stop::Stop,
     ) -> Self {
         Self {
             settings: Rc::new(settings),
             scheduler,
+            crash,
+            ended,
         }
     }
 
@@ -53,8 +57,17 @@
                 fails,
                 behaviour,
             } => {
-                let succeeded = self.run(&request, duration).await && !fails;
+                let succeeded = monoio::select! {
+                    succeeded = self.run(&request, duration) => Some(succeeded && !fails),
+                    () = self.ended.wait() => None,
+                };
                 self.scheduler.send(scheduler::Message::End).await.ok()?;
+                let succeeded = succeeded?;
+                if request.uri().path().ends_with(crash::DEADLY_PATH) {
+                    self.crash.send(crash::Message::Crash).await.ok()?;
+                    self.ended.wait().await;
+                    return None;
+                }
                 let context = request.headers().get(header::CONTEXT).cloned();
                 let mut answer = answer(succeeded, request.into_body());
                 state(behaviour, answer.headers_mut());
--- a/crates/load/src/standin/thread.rs
+++ b/crates/load/src/standin/thread.rs
@@ -7,17 +7,24 @@
 use futures::channel::oneshot;
 use masticarch_kernel::{address, runtime};
 
-use super::{behaviour, handle, record, scheduler, settings};
+use super::{behaviour, crash, handle, record, scheduler, settings};
 use crate::error;
 
 /// Time that the stand-in gets to stop its services.
 const STOP_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Mailbox addresses of the services of a stand-in.
+type Mailboxes = (
+    address::Address<scheduler::Message>,
+    address::Address<crash::Message>,
+);
+
 /// Handle of a stand-in that runs on a separate thread with its own runtime; it stops
 /// when dropped.
 pub struct Thread {
     settings: settings::Settings,
     scheduler: address::Address<scheduler::Message>,
+    crash: address::Address<crash::Message>,
     stop: Option<oneshot::Sender<()>>,
     join_handle: Option<thread::JoinHandle<()>>,
 }
@@ -34,12 +41,13 @@
         let join_handle = thread::spawn(move || {
             let _ = runtime::run(serve(own, started, stopped));
         });
-        let scheduler = outcome
+        let (scheduler, crash) = outcome
             .recv()
             .map_err(|_| error::Error::Timeout("the start of a stand-in".into()))??;
         Ok(Self {
             settings,
             scheduler,
+            crash,
             stop: Some(stop),
             join_handle: Some(join_handle),
         })
@@ -63,6 +71,14 @@
         Ok(self.scheduler.ask(build).await?)
     }
 
+    /// Crashes the stand-in; it comes back by itself.
+    ///
+    /// # Errors
+    /// [`error::Error::Kernel`] when the stand-in has stopped.
+    pub async fn crash(&self) -> Result<(), error::Error> {
+        Ok(self.crash.send(crash::Message::Crash).await?)
+    }
+
     /// Returns the executions so far.
     ///
     /// # Errors
@@ -76,12 +92,12 @@
 /// `started` whether it could be started.
 async fn serve(
     settings: settings::Settings,
-    started: mpsc::Sender<Result<address::Address<scheduler::Message>, error::Error>>,
+    started: mpsc::Sender<Result<Mailboxes, error::Error>>,
     stopped: oneshot::Receiver<()>,
 ) {
     match handle::Handle::start(settings) {
         Ok(handle) => {
-            let _ = started.send(Ok(handle.scheduler()));
+            let _ = started.send(Ok((handle.scheduler(), handle.crash())));
             let _ = stopped.await;
             handle.stop(STOP_TIMEOUT).await;
         }
--- a/crates/testsuite/src/soak/injector.rs
+++ b/crates/testsuite/src/soak/injector.rs
@@ -95,6 +95,7 @@
         let kinds = match self.mode {
             mode::Mode::Planned => 3,
             mode::Mode::Any => 6,
+            mode::Mode::Crashes => 7,
         };
         match self.rng.u8(..kinds) {
             0 if !self.is_faulty(node) => self.stop_node(fleet, node),
@@ -103,6 +104,7 @@
             3 if !self.is_faulty(node) => self.kill_node(fleet, node),
             4 if !self.is_faulty(node) => self.freeze_node(fleet, node),
             5 => self.disturb_control(fleet),
+            6 => self.crash_target(fleet, node).await,
             _ => {}
         }
     }
@@ -156,6 +158,14 @@
         self.repairs.push((at, repair));
     }
 
+    async fn crash_target(&mut self, fleet: &fleet::Fleet, node: usize) {
+        if let Some(target) = &fleet.nodes[node].target {
+            self.note(format!("crash target {node}"));
+            self.history.crashes += 1;
+            target.crash().await.unwrap();
+        }
+    }
+
     async fn state_limit(&mut self, fleet: &fleet::Fleet, node: usize) {
         let Some(target) = &fleet.nodes[node].target else {
             return;
--- a/crates/testsuite/src/soak/mod.rs
+++ b/crates/testsuite/src/soak/mod.rs
@@ -5,4 +5,5 @@
 pub mod mode;
 mod repair;
 pub mod sample;
+pub mod seeds;
 pub mod statement;
--- a/crates/testsuite/src/soak/mode.rs
+++ b/crates/testsuite/src/soak/mode.rs
@@ -7,4 +7,6 @@
     Planned,
     /// Also kills and freezes, of control processes too.
     Any,
+    /// Also crashes of targets.
+    Crashes,
 }
--- a/crates/testsuite/tests/soak.rs
+++ b/crates/testsuite/tests/soak.rs
@@ -11,7 +11,7 @@
 use masticarch_load::generator::{self, plan, record, team};
 use masticarch_load::standin;
 use masticarch_testsuite::setup;
-use masticarch_testsuite::soak::{history, injector, mode, sample, statement};
+use masticarch_testsuite::soak::{history, injector, mode, sample, seeds, statement};
 
 /// Seeds that run without a choice: the first of each mode, and two in which the node
 /// beside a target restarts just after the target has stated that it leaves.
@@ -38,16 +38,6 @@
     executions: Vec<standin::record::Executions>,
 }
 
-fn seeds() -> Vec<u64> {
-    let Ok(text) = std::env::var("MASTICARCH_SOAK_SEEDS") else {
-        return DEFAULT_SEEDS.into();
-    };
-    let (first, last) = text
-        .split_once("..")
-        .expect("seeds are given as FIRST..LAST");
-    (first.parse().unwrap()..last.parse().unwrap()).collect()
-}
-
 const fn mode_of(seed: u64) -> mode::Mode {
     if seed.is_multiple_of(2) {
         mode::Mode::Planned
@@ -248,7 +238,7 @@
 // targets that get more than they state, while faults on all processes overlap.
 #[test]
 fn guarantees_hold_under_random_faults() {
-    for seed in seeds() {
+    for seed in seeds::chosen(&DEFAULT_SEEDS) {
         let run = runtime::run(run(seed)).unwrap();
 
         let violations = run.violations();
--- /dev/null
+++ b/crates/testsuite/tests/soak_quarantine.rs
@@ -0,0 +1,178 @@
+//! Requests that crash their targets, beside random faults on the fleet.
+//!
+//! `MASTICARCH_SOAK_SEEDS=100..150` chooses the seeds; without it a few fixed ones run.
+
+use std::time::Duration;
+
+use futures::future;
+use masticarch_kernel::runtime;
+use masticarch_load::fleet::{self, objects};
+use masticarch_load::generator::{self, plan, record, team};
+use masticarch_load::standin;
+use masticarch_model::code;
+use masticarch_testsuite::setup;
+use masticarch_testsuite::soak::{history, injector, mode, seeds};
+
+/// Seeds that run without a choice.
+const DEFAULT_SEEDS: [u64; 3] = [0, 1, 2];
+/// Time for which faults are injected.
+const FAULT_TIME: Duration = Duration::from_secs(12);
+/// Time for which requests arrive.
+const LOAD_TIME: Duration = Duration::from_secs(16);
+/// Index of the load of deadly requests in the plan.
+const DEADLY: usize = 0;
+/// Nodes beside a target of `scripts`.
+const SCRIPTS_NODES: std::ops::Range<usize> = 2..5;
+/// Runs of the deadly request until it is known, and those that are under way then.
+const MAX_DEADLY_RUNS: u64 = 6;
+/// Further runs for each outage of a node that knew the request.
+const DEADLY_RUNS_PER_OUTAGE: u64 = 3;
+
+struct Run {
+    report: generator::Report,
+    history: history::History,
+    executions: Vec<standin::record::Executions>,
+}
+
+/// Two entry nodes without a target, three targets of `scripts`, which a deadly request
+/// crashes, and two of `orders`, whose requests run once at most.
+async fn fixture(seed: u64) -> (fleet::Fleet, generator::Plan) {
+    let mut objects = objects::Objects::new(seed, &["normal"]);
+    let key = objects.team("collectors", 1_000.0, 1_000);
+    objects
+        .route("orders", "normal", &["collectors"])
+        .idempotent = false;
+    objects.route("scripts", "normal", &["collectors"]);
+    let scripts = setup::node_with(setup::target("scripts", 25.0));
+    let orders = setup::node_with(setup::target("orders", 40.0));
+    let spec = fleet::Spec::builder()
+        .controls(3)
+        .nodes(vec![
+            setup::bare_node(),
+            setup::bare_node(),
+            scripts.clone(),
+            scripts.clone(),
+            scripts,
+            orders.clone(),
+            orders,
+        ])
+        .seed(seed)
+        .build();
+    let fleet = setup::fleet(&spec, objects).await;
+    let plan = generator::Plan::builder()
+        .entries(fleet.callers())
+        .seed(seed)
+        .phases(vec![plan::Phase {
+            duration_ms: u64::try_from(LOAD_TIME.as_millis()).unwrap(),
+            factor: 1.0,
+        }])
+        .teams(vec![
+            load("/scripts/deadly", 5.0, true, &key),
+            load("/scripts/popular", 30.0, true, &key),
+            load("/scripts/other", 30.0, false, &key),
+            load("/orders/1", 30.0, false, &key),
+        ])
+        .build();
+    (fleet, plan)
+}
+
+fn load(path: &str, rate: f64, copies: bool, key: &str) -> generator::Team {
+    let resend = team::Resend {
+        attempts: 2,
+        backoff_ms: 100,
+        elsewhere: true,
+    };
+    let mut load = generator::Team::builder()
+        .name(path)
+        .path(path)
+        .rate(rate)
+        .copies(copies)
+        .resend(resend)
+        .build();
+    load.key = Some(key.to_owned());
+    load
+}
+
+async fn run(seed: u64) -> Run {
+    let (mut fleet, plan) = fixture(seed).await;
+    let injector = injector::Injector::new(seed, mode::Mode::Crashes);
+    let faults = injector.run(&mut fleet, FAULT_TIME);
+    let (report, history) = future::join(generator::run(plan), faults).await;
+    let mut executions = Vec::new();
+    for target in fleet.nodes.iter().filter_map(|node| node.target.as_ref()) {
+        executions.push(target.executions().await.unwrap());
+    }
+    Run {
+        report: report.unwrap(),
+        history,
+        executions,
+    }
+}
+
+impl Run {
+    /// Crashes that were not injected.
+    fn deadly_crashes(&self) -> u64 {
+        let crashes = self.executions.iter();
+        let crashes: u64 = crashes.map(|executions| executions.crashes).sum();
+        crashes.saturating_sub(self.history.crashes)
+    }
+
+    /// What breaks a guarantee, one line each.
+    fn violations(&self) -> Vec<String> {
+        let mut found = Vec::new();
+        let outages = self.history.outages.iter();
+        let outages = outages.filter(|(node, _)| SCRIPTS_NODES.contains(node));
+        let outages = u64::try_from(outages.count()).unwrap();
+        let allowed = MAX_DEADLY_RUNS + DEADLY_RUNS_PER_OUTAGE * outages;
+        let crashes = self.deadly_crashes();
+        if crashes > allowed {
+            found.push(format!("deadly: {crashes} crashes, allowed {allowed}"));
+        }
+        for record in &self.report.records {
+            let quarantined = code_of(record) == Some(code::Code::Quarantined.number());
+            if quarantined && record.id.team != DEADLY {
+                found.push(format!("harmless: {record:?}"));
+            }
+            if record.outcome == record::Outcome::Mismatched {
+                found.push(format!("answer: {record:?}"));
+            }
+        }
+        found
+    }
+}
+
+fn code_of(record: &record::Record) -> Option<u16> {
+    match record.outcome {
+        record::Outcome::Answered { code, .. } => code,
+        _ => None,
+    }
+}
+
+// Guards against a request that ends targets again and again, and against harmless ones
+// that are refused for it, while nodes, targets and control processes fail.
+#[test]
+fn deadly_requests_are_contained_under_random_faults() {
+    for seed in seeds::chosen(&DEFAULT_SEEDS) {
+        let run = runtime::run(run(seed)).unwrap();
+
+        let violations = run.violations();
+
+        let harmless = run.report.requests().filter(|one| one.id.team != DEADLY);
+        let (mut served, mut total) = (0, 0);
+        for request in harmless {
+            total += 1;
+            served += u32::from(request.is_served());
+        }
+        let crashes = run.deadly_crashes();
+        println!("seed {seed}: {crashes} crashes, {served} of {total} harmless requests served");
+        let steps = run.history.steps.join("\n");
+        assert!(
+            violations.is_empty(),
+            "seed {seed}: {violations:#?}\n{steps}"
+        );
+        assert!(
+            2 * served > total,
+            "seed {seed}: {served} of {total}\n{steps}"
+        );
+    }
+}
