--- a/crates/load/src/standin/crash.rs
+++ b/crates/load/src/standin/crash.rs
@@ -12,7 +12,7 @@
 /// Name of the service.
 pub const NAME: name::Name = name::Name::new("target");
 /// End of the path of requests that crash the stand-in.
-pub const DEADLY_PATH: &str = "/deadly";
+pub const CRASH_PATH: &str = "/crash";
 /// Time between a crash and the next run.
 const DOWNTIME: Duration = Duration::from_millis(700);
 
--- a/crates/load/src/standin/target.rs
+++ b/crates/load/src/standin/target.rs
@@ -63,7 +63,7 @@
                 };
                 self.scheduler.send(scheduler::Message::End).await.ok()?;
                 let succeeded = succeeded?;
-                if request.uri().path().ends_with(crash::DEADLY_PATH) {
+                if request.uri().path().ends_with(crash::CRASH_PATH) {
                     self.crash.send(crash::Message::Crash).await.ok()?;
                     self.ended.wait().await;
                     return None;
--- a/crates/node/src/quarantine/content.rs
+++ b/crates/node/src/quarantine/content.rs
@@ -1,10 +1,26 @@
-//! Digests of the content of a request.
+//! Identifies requests by digests of their content.
 
 use http::{HeaderValue, header};
-use masticarch_policy::quarantine::fingerprint;
+use masticarch_policy::quarantine::{fingerprint, suspect};
 
 use crate::target::job;
 
+/// Longest id of a request that is kept, in bytes.
+const MAX_REQUEST_ID_BYTES: usize = 128;
+
+/// The request of a job as a suspect.
+#[must_use]
+pub fn suspect(job: &job::Job) -> suspect::Suspect {
+    let entry = &job.entry;
+    let end = entry.root.floor_char_boundary(MAX_REQUEST_ID_BYTES);
+    suspect::Suspect {
+        fingerprint: fingerprint(job),
+        request: entry.root[..end].into(),
+        service: entry.service.clone(),
+        team: entry.team.clone(),
+    }
+}
+
 /// The fingerprint of a request.
 #[must_use]
 pub fn fingerprint(job: &job::Job) -> fingerprint::Fingerprint {
--- a/crates/node/src/quarantine/convert.rs
+++ b/crates/node/src/quarantine/convert.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use masticarch_policy::quarantine::{crash, fingerprint, record};
+use masticarch_policy::quarantine::{crash, evidence, fingerprint, record};
 use masticarch_wire::message::quarantine as wire;
 
 /// A record for another node.
@@ -12,30 +12,32 @@
     record: &record::Record,
     now: Instant,
 ) -> wire::Record {
-    let crash = |crash: &crash::Crash| wire::Crash {
-        node: crash.id.node,
-        sequence: crash.id.sequence,
-        age_ms: u64::try_from(now.saturating_duration_since(crash.at).as_millis())
-            .unwrap_or(u64::MAX),
-        target: crash.target.clone(),
-        request: crash.request.clone(),
-        conclusive: crash.conclusive,
-        cleared: crash.cleared,
+    let crash = |evidence: &evidence::Evidence| {
+        let age = now.saturating_duration_since(evidence.at).as_millis();
+        wire::Crash {
+            node: evidence.crash.node,
+            sequence: evidence.crash.sequence,
+            age_ms: u64::try_from(age).unwrap_or(u64::MAX),
+            target: evidence.target.clone(),
+            request: evidence.request.clone(),
+            conclusive: evidence.conclusive,
+            cleared: evidence.cleared,
+        }
     };
     wire::Record {
         head: fingerprint.head,
         body: fingerprint.body,
         service: record.service.clone(),
-        crashes: record.crashes.iter().map(crash).collect(),
+        crashes: record.evidence.iter().map(crash).collect(),
     }
 }
 
 /// A crash that another node has sent.
 #[must_use]
-pub fn from_wire(crash: wire::Crash, now: Instant) -> crash::Crash {
+pub fn from_wire(crash: wire::Crash, now: Instant) -> evidence::Evidence {
     let age = Duration::from_millis(crash.age_ms);
-    crash::Crash {
-        id: crash::Id {
+    evidence::Evidence {
+        crash: crash::Id {
             node: crash.node,
             sequence: crash.sequence,
         },
--- a/crates/node/src/quarantine/crash.rs
+++ b/crates/node/src/quarantine/crash.rs
@@ -1,8 +1,7 @@
 //! A crash of a target, as far as the node beside it can tell.
 
 use masticarch_model::name;
-
-use super::subject;
+use masticarch_policy::quarantine::suspect;
 
 /// A crash of a target beside this node.
 #[derive(Clone, Debug)]
@@ -12,5 +11,5 @@
     /// The run that ended, if the target identifies its runs.
     pub run: Option<Box<str>>,
     /// The requests that ran there, each content once.
-    pub suspects: Vec<subject::Subject>,
+    pub suspects: Vec<suspect::Suspect>,
 }
--- a/crates/node/src/quarantine/detector.rs
+++ b/crates/node/src/quarantine/detector.rs
@@ -4,8 +4,9 @@
 use std::time::{Duration, Instant};
 
 use masticarch_model::{map, name};
+use masticarch_policy::quarantine::suspect;
 
-use super::{crash, subject};
+use super::crash;
 
 /// Time in which the node notices the end of all connections of a target that has ended.
 const GROUP_WINDOW: Duration = Duration::from_millis(25);
@@ -33,7 +34,7 @@
 
 #[derive(Debug)]
 struct Abandoned {
-    subject: subject::Subject,
+    suspect: suspect::Suspect,
     at: Instant,
 }
 
@@ -42,7 +43,7 @@
 struct Outage {
     began: Instant,
     run: Option<Box<str>>,
-    suspects: Vec<subject::Subject>,
+    suspects: Vec<suspect::Suspect>,
     probe: Probe,
 }
 
@@ -57,33 +58,33 @@
 impl Detector {
     /// Records a request whose connection was closed without a whole answer. Returns
     /// whether the target is to be probed.
-    pub fn lost(&mut self, subject: subject::Subject, run: Option<Box<str>>, now: Instant) -> bool {
-        let target = self.targets.entry(subject.service.clone()).or_default();
+    pub fn lost(&mut self, suspect: suspect::Suspect, run: Option<Box<str>>, now: Instant) -> bool {
+        let target = self.targets.entry(suspect.service.clone()).or_default();
         if target.leaving {
             return false;
         }
         if let Some(outage) = &mut target.outage
             && !outage.is_over(now)
         {
-            outage.add(subject);
+            outage.add(suspect);
             return false;
         }
         target.outage = Some(Outage {
             began: now,
             run,
-            suspects: vec![subject],
+            suspects: vec![suspect],
             probe: Probe::Pending,
         });
         true
     }
 
     /// Records a request that was given up while its target may still run it.
-    pub fn abandoned(&mut self, subject: subject::Subject, now: Instant) {
-        let target = self.targets.entry(subject.service.clone()).or_default();
+    pub fn abandoned(&mut self, suspect: suspect::Suspect, now: Instant) {
+        let target = self.targets.entry(suspect.service.clone()).or_default();
         if target.abandoned.len() >= MAX_ABANDONED {
             target.abandoned.pop_front();
         }
-        target.abandoned.push_back(Abandoned { subject, at: now });
+        target.abandoned.push_back(Abandoned { suspect, at: now });
     }
 
     /// Records that a target accepts no connection. If requests were given up there a short
@@ -138,7 +139,7 @@
         let running = outage.began.checked_sub(ABANDONED_WINDOW);
         for abandoned in target.abandoned.drain(..) {
             if running.is_none_or(|running| abandoned.at >= running) {
-                outage.add(abandoned.subject);
+                outage.add(abandoned.suspect);
             }
         }
         Some(crash::Crash {
@@ -185,10 +186,11 @@
         (self.probe == Probe::Refused).then(|| self.began + GROUP_WINDOW)
     }
 
-    fn add(&mut self, subject: subject::Subject) {
-        let known = |suspect: &subject::Subject| suspect.fingerprint == subject.fingerprint;
-        if self.suspects.len() < MAX_SUSPECTS && !self.suspects.iter().any(known) {
-            self.suspects.push(subject);
+    fn add(&mut self, suspect: suspect::Suspect) {
+        let mut suspects = self.suspects.iter();
+        let is_known = suspects.any(|known| known.fingerprint == suspect.fingerprint);
+        if self.suspects.len() < MAX_SUSPECTS && !is_known {
+            self.suspects.push(suspect);
         }
     }
 }
--- a/crates/node/src/quarantine/isolation.rs
+++ b/crates/node/src/quarantine/isolation.rs
@@ -3,8 +3,9 @@
 use std::collections::VecDeque;
 
 use masticarch_kernel::reply;
+use masticarch_policy::quarantine::suspect;
 
-use super::{message, subject};
+use super::message;
 
 /// Most requests that wait for one target.
 const MAX_WAITING: usize = 64;
@@ -16,7 +17,7 @@
 #[derive(Debug, Default)]
 pub struct Isolation {
     is_running: bool,
-    waiting: VecDeque<(subject::Subject, Reply)>,
+    waiting: VecDeque<(suspect::Suspect, Reply)>,
 }
 
 impl Isolation {
@@ -29,23 +30,23 @@
     ///
     /// # Errors
     /// The reply, when too many wait already.
-    pub fn wait(&mut self, subject: subject::Subject, reply: Reply) -> Result<(), Reply> {
+    pub fn wait(&mut self, suspect: suspect::Suspect, reply: Reply) -> Result<(), Reply> {
         self.waiting.retain(|(_, reply)| !reply.is_canceled());
         if self.waiting.len() >= MAX_WAITING {
             return Err(reply);
         }
-        self.waiting.push_back((subject, reply));
+        self.waiting.push_back((suspect, reply));
         Ok(())
     }
 
     /// Frees the place, and takes a suspect that waits for it.
-    pub fn leave(&mut self) -> Option<(subject::Subject, Reply)> {
+    pub fn leave(&mut self) -> Option<(suspect::Suspect, Reply)> {
         self.is_running = false;
         self.take_waiting()
     }
 
     /// Takes a suspect that waits if none runs.
-    pub fn take_waiting_if_free(&mut self) -> Option<(subject::Subject, Reply)> {
+    pub fn take_waiting_if_free(&mut self) -> Option<(suspect::Suspect, Reply)> {
         if self.is_running {
             return None;
         }
@@ -53,10 +54,10 @@
     }
 
     /// Takes a suspect that waits, and whose caller still does.
-    fn take_waiting(&mut self) -> Option<(subject::Subject, Reply)> {
-        while let Some((subject, reply)) = self.waiting.pop_front() {
+    fn take_waiting(&mut self) -> Option<(suspect::Suspect, Reply)> {
+        while let Some((suspect, reply)) = self.waiting.pop_front() {
             if !reply.is_canceled() {
-                return Some((subject, reply));
+                return Some((suspect, reply));
             }
         }
         None
--- a/crates/node/src/quarantine/message.rs
+++ b/crates/node/src/quarantine/message.rs
@@ -5,10 +5,10 @@
 
 use masticarch_kernel::reply;
 use masticarch_model::{directory, incarnation, name};
-use masticarch_policy::quarantine::fingerprint;
+use masticarch_policy::quarantine::{fingerprint, suspect};
 use masticarch_wire::message::quarantine as wire;
 
-use super::{status, subject, turn};
+use super::{status, turn};
 use crate::refusal;
 
 /// Whether a request may run, with its turn if it runs in isolation.
@@ -19,16 +19,16 @@
 pub enum Message {
     /// Asks whether a request may run. The reply waits while another suspect runs in
     /// isolation.
-    Begin(Box<subject::Subject>, reply::Reply<Decision>),
+    Begin(Box<suspect::Suspect>, reply::Reply<Decision>),
     /// The request that ran in isolation at the target of a service has ended.
     End(name::Name),
     /// A request has completed: its target has sent a whole answer.
     Completed(fingerprint::Fingerprint),
     /// The connection on which the target at this address ran a request was closed
     /// without a whole answer. The text identifies the run of the target.
-    Lost(Box<subject::Subject>, SocketAddr, Option<Box<str>>),
+    Lost(Box<suspect::Suspect>, SocketAddr, Option<Box<str>>),
     /// A request was given up while a target may still run it.
-    Abandoned(Box<subject::Subject>),
+    Abandoned(Box<suspect::Suspect>),
     /// The target of a service has refused a connection for a request.
     Unreachable(name::Name),
     /// The target of a service accepts connections, or refuses them.
--- a/crates/node/src/quarantine/peers.rs
+++ b/crates/node/src/quarantine/peers.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use masticarch_model::{directory, incarnation, map, name, node};
-use masticarch_policy::quarantine::{crash, record, table};
+use masticarch_policy::quarantine::{evidence, record, table};
 use masticarch_wire::message::quarantine as wire;
 
 use super::convert;
@@ -114,6 +114,13 @@
         }
     }
 
+    /// When the next batch is due, if the table has this version.
+    #[must_use]
+    pub fn wake(&self, version: u64) -> Option<Instant> {
+        let due = self.peers.values().filter(|peer| peer.is_due(version));
+        due.map(|peer| peer.next_push).min()
+    }
+
     fn add(&mut self, node: &node::Node, service: &name::Name, now: Instant) {
         let peer = self.peers.entry(node.name.clone()).or_insert_with(|| Peer {
             incarnation: node.incarnation,
@@ -128,13 +135,6 @@
             peer.services.insert(service.clone());
         }
     }
-
-    /// When the next batch is due, if the table has this version.
-    #[must_use]
-    pub fn wake(&self, version: u64) -> Option<Instant> {
-        let due = self.peers.values().filter(|peer| peer.is_due(version));
-        due.map(|peer| peer.next_push).min()
-    }
 }
 
 impl Peer {
@@ -181,7 +181,9 @@
 
 /// Bytes that a record takes in a batch, at most.
 fn size(record: &record::Record) -> usize {
-    let crash = |crash: &crash::Crash| MAX_FIXED_BYTES + crash.target.len() + crash.request.len();
-    let crashes: usize = record.crashes.iter().map(crash).sum();
-    MAX_FIXED_BYTES + record.service.len() + crashes
+    let size = |evidence: &evidence::Evidence| {
+        MAX_FIXED_BYTES + evidence.target.len() + evidence.request.len()
+    };
+    let evidence: usize = record.evidence.iter().map(size).sum();
+    MAX_FIXED_BYTES + record.service.len() + evidence
 }
--- a/crates/node/src/quarantine/service.rs
+++ b/crates/node/src/quarantine/service.rs
@@ -6,9 +6,10 @@
 
 use masticarch_kernel::{mailbox, stop, task};
 use masticarch_model::name;
+use masticarch_policy::quarantine::suspect;
 use masticarch_wire::{error, socket};
 
-use super::{counters, message, peers, state, subject};
+use super::{counters, message, peers, state};
 use crate::peer::exchange;
 use crate::{event, name as names, services};
 
@@ -30,7 +31,7 @@
     let state = state::State::new(&services, counters, Instant::now());
     let mut quarantine = Quarantine { services, state };
     loop {
-        match event::next(&mut mailbox, Some(quarantine.state.wake()), &stop).await {
+        match event::next(&mut mailbox, quarantine.state.wake(), &stop).await {
             event::Event::Message(message) => quarantine.handle(message, Instant::now()),
             event::Event::Timer => {}
             event::Event::Stop => return,
@@ -43,13 +44,13 @@
     fn handle(&mut self, message: message::Message, now: Instant) {
         let state = &mut self.state;
         match message {
-            message::Message::Begin(subject, reply) => state.begin(*subject, reply, now),
+            message::Message::Begin(suspect, reply) => state.begin(*suspect, reply, now),
             message::Message::End(service) => state.end(service),
             message::Message::Completed(fingerprint) => state.complete(fingerprint, now),
-            message::Message::Lost(subject, address, run) => {
-                self.lost(*subject, address, run, now);
+            message::Message::Lost(suspect, address, run) => {
+                self.lost(*suspect, address, run, now);
             }
-            message::Message::Abandoned(subject) => state.detector().abandoned(*subject, now),
+            message::Message::Abandoned(suspect) => state.detector().abandoned(*suspect, now),
             message::Message::Unreachable(service) => {
                 state.detector().unreachable(&service, now);
             }
@@ -84,13 +85,13 @@
 
     fn lost(
         &mut self,
-        subject: subject::Subject,
+        suspect: suspect::Suspect,
         address: SocketAddr,
         run: Option<Box<str>>,
         now: Instant,
     ) {
-        let service = subject.service.clone();
-        if self.state.detector().lost(subject, run, now) {
+        let service = suspect.service.clone();
+        if self.state.detector().lost(suspect, run, now) {
             let probe = probe(Rc::clone(&self.services), service, address);
             drop(task::spawn(names::QUARANTINE, probe));
         }
--- a/crates/node/src/quarantine/state.rs
+++ b/crates/node/src/quarantine/state.rs
@@ -1,32 +1,25 @@
 //! State of the quarantine and its changes by messages.
 
-use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use fastrand::Rng;
 use masticarch_kernel::{address, reply};
 use masticarch_model::{code, directory, incarnation, map, name};
-use masticarch_policy::quarantine::{crash as evidence, fingerprint, record, table, verdict};
+use masticarch_policy::quarantine::{
+    crash as id, decision, evidence, fingerprint, record, suspect, table,
+};
 use masticarch_wire::message::quarantine as wire;
 
 use super::{
-    convert, counters, crash, detector, filter, isolation, message, peers, status, subject, turn,
+    convert, counters, crash, detector, filter, isolation, message, peers, refusals, report,
+    status, turn,
 };
 use crate::{refusal, services};
 
 /// Time between two searches for records that are of no more use.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
-/// Most suspects of a crash that its line in the log names.
-const MAX_LOGGED_SUSPECTS: usize = 16;
-/// Most ids of refused requests that are kept for each record.
-const MAX_REFUSED_IDS: usize = 8;
-
-/// Requests that were refused because of one record.
-#[derive(Debug, Default)]
-struct Refused {
-    count: u64,
-    last: VecDeque<Box<str>>,
-}
+/// Longest text that is kept to identify a target, in bytes.
+const MAX_TARGET_BYTES: usize = 128;
 
 /// State of the quarantine.
 pub struct State {
@@ -43,7 +36,7 @@
     /// Services whose isolated suspect has ended, but perhaps with its target.
     unsettled: map::Set<name::Name>,
     peers: peers::Peers,
-    refused: map::Map<fingerprint::Fingerprint, Refused>,
+    refusals: refusals::Refusals,
     next_sweep: Instant,
 }
 
@@ -64,7 +57,7 @@
             isolations: map::Map::default(),
             unsettled: map::Set::default(),
             peers: peers::Peers::default(),
-            refused: map::Map::default(),
+            refusals: refusals::Refusals::default(),
             next_sweep: now + SWEEP_INTERVAL,
         }
     }
@@ -72,29 +65,29 @@
     /// Decides whether a request may run, or lets it wait.
     pub fn begin(
         &mut self,
-        subject: subject::Subject,
+        suspect: suspect::Suspect,
         reply: reply::Reply<message::Decision>,
         now: Instant,
     ) {
-        match self.table.verdict(subject.fingerprint, now) {
-            verdict::Verdict::Pass => {
+        match self.table.decision(suspect.fingerprint, now) {
+            decision::Decision::Run => {
                 let _ = reply.send(Ok(None));
             }
-            verdict::Verdict::Refuse(time) => {
-                self.record_refusal(&subject);
-                let _ = reply.send(Err(quarantined(subject.fingerprint, time)));
+            decision::Decision::Refuse(time) => {
+                self.refusals.record(&suspect);
+                let _ = reply.send(Err(quarantined(suspect.fingerprint, time)));
             }
-            verdict::Verdict::Isolate => self.isolate(subject, reply),
+            decision::Decision::Isolate => self.isolate(suspect, reply),
         }
     }
 
-    fn isolate(&mut self, subject: subject::Subject, reply: reply::Reply<message::Decision>) {
-        let service = subject.service.clone();
+    fn isolate(&mut self, suspect: suspect::Suspect, reply: reply::Reply<message::Decision>) {
+        let service = suspect.service.clone();
         let isolation = self.isolations.entry(service.clone()).or_default();
         if isolation.try_enter() {
             // A turn that is not received is dropped, which ends it.
             let _ = reply.send(Ok(Some(turn::Turn::new(self.own.clone(), service))));
-        } else if let Err(reply) = isolation.wait(subject, reply) {
+        } else if let Err(reply) = isolation.wait(suspect, reply) {
             let _ = reply.send(Err(busy()));
         }
     }
@@ -106,11 +99,10 @@
 
     /// Records that a request has completed.
     pub fn complete(&mut self, fingerprint: fingerprint::Fingerprint, now: Instant) {
-        let record = self.table.get(fingerprint);
-        let convicted = record.is_some_and(record::Record::is_convicted);
+        let was_known = self.is_known_cause(fingerprint);
         if self.table.complete(fingerprint, now) {
-            if convicted {
-                tracing::info!(%fingerprint, "request completed, its quarantine ends");
+            if was_known {
+                report::released(fingerprint);
             }
             self.update_filter();
         }
@@ -134,14 +126,11 @@
                 body: record.body,
             };
             let spread = self.rng.f64();
-            let crashes = record.crashes.into_iter();
-            let crashes = crashes.map(|crash| convert::from_wire(crash, now));
-            let service = record.service;
-            if self
-                .table
-                .merge(fingerprint, &service, crashes, spread, now)
-            {
-                self.log_conviction(fingerprint, "another node");
+            let evidence = record.crashes.into_iter();
+            let evidence = evidence.map(|crash| convert::from_wire(crash, now));
+            let (table, service) = (&mut self.table, record.service);
+            if table.merge(fingerprint, &service, evidence, spread, now) {
+                self.report_quarantine(fingerprint, "another node");
             }
         }
         self.update_filter();
@@ -166,25 +155,27 @@
     /// Handles everything that is due.
     pub fn tick(&mut self, now: Instant) {
         while let Some(crash) = self.detector.take_crash(now) {
-            self.blame(&crash, now);
+            self.attribute(&crash, now);
         }
         self.release_isolated(now);
         if now >= self.next_sweep {
             self.next_sweep = now + SWEEP_INTERVAL;
             self.table.expire(now);
-            self.refused
-                .retain(|fingerprint, _| self.table.get(*fingerprint).is_some());
+            self.refusals
+                .retain(|fingerprint| self.table.get(fingerprint).is_some());
             self.update_filter();
         }
     }
 
     /// When [`Self::tick`] or [`Self::take_push`] is due.
-    pub fn wake(&self) -> Instant {
-        let wakes = [self.detector.wake(), self.peers.wake(self.table.version())];
-        wakes
+    #[must_use]
+    pub fn wake(&self) -> Option<Instant> {
+        let sweep = (!self.table.is_empty()).then_some(self.next_sweep);
+        let push = self.peers.wake(self.table.version());
+        [self.detector.wake(), push, sweep]
             .into_iter()
             .flatten()
-            .fold(self.next_sweep, Instant::min)
+            .min()
     }
 
     /// The requests that are quarantined or run in isolation.
@@ -192,7 +183,7 @@
     pub fn status(&self, now: Instant) -> Vec<status::Status> {
         self.table
             .iter()
-            .filter(|(_, record)| record.verdict(now) != verdict::Verdict::Pass)
+            .filter(|(_, record)| record.decision(now) != decision::Decision::Run)
             .map(|(fingerprint, record)| self.describe(fingerprint, record, now))
             .collect()
     }
@@ -203,48 +194,40 @@
         record: &record::Record,
         now: Instant,
     ) -> status::Status {
-        let crash = |crash: &evidence::Crash| status::Crash {
-            request: crash.request.clone(),
-            target: crash.target.clone(),
-            age_ms: now.saturating_duration_since(crash.at).as_millis(),
+        let crash = |evidence: &evidence::Evidence| status::Crash {
+            request: evidence.request.clone(),
+            target: evidence.target.clone(),
+            age_ms: now.saturating_duration_since(evidence.at).as_millis(),
         };
         let until = record.quarantined_until();
-        let refused = self.refused.get(&fingerprint);
+        let (refusals, refused) = self.refusals.get(fingerprint);
         status::Status {
             fingerprint: fingerprint.to_string(),
             service: record.service.to_string(),
             refused_ms: until.map(|until| until.saturating_duration_since(now).as_millis()),
-            crashes: record.open_crashes().map(crash).collect(),
-            refusals: refused.map_or(0, |refused| refused.count),
-            refused: refused
-                .map_or_else(Vec::new, |refused| refused.last.iter().cloned().collect()),
+            crashes: record.open_evidence().map(crash).collect(),
+            refusals,
+            refused,
         }
     }
 
-    fn blame(&mut self, crash: &crash::Crash, now: Instant) {
+    fn attribute(&mut self, crash: &crash::Crash, now: Instant) {
         self.counters.crashed(&crash.service);
         self.crashes += 1;
-        let id = evidence::Id {
+        let id = id::Id {
             node: self.incarnation,
             sequence: self.crashes,
         };
         let target = crash.run.as_deref().unwrap_or(&self.node);
-        let suspects: Vec<_> = crash
-            .suspects
-            .iter()
-            .map(subject::Subject::suspect)
-            .collect();
-        let convicted = |table: &table::Table, key: fingerprint::Fingerprint| {
-            table.get(key).is_some_and(record::Record::is_convicted)
-        };
+        let target = &target[..target.floor_char_boundary(MAX_TARGET_BYTES)];
         let spread = self.rng.f64();
-        let blamed = self
+        let causes = self
             .table
-            .blame(&crash.service, &suspects, (id, target), spread, now);
-        log_crash(crash, &blamed);
-        for fingerprint in blamed {
-            if convicted(&self.table, fingerprint) {
-                self.log_conviction(fingerprint, "this node");
+            .attribute(&crash.suspects, (id, target), spread, now);
+        report::crashed(crash, &causes);
+        for fingerprint in causes {
+            if self.is_known_cause(fingerprint) {
+                self.report_quarantine(fingerprint, "this node");
             }
         }
         self.update_filter();
@@ -264,66 +247,35 @@
                 continue;
             };
             let mut next = isolation.leave();
-            while let Some((subject, reply)) = next {
-                // Decided again: the suspect may have been convicted meanwhile.
-                self.begin(subject, reply, now);
+            while let Some((suspect, reply)) = next {
+                // Decided again: the suspect may be quarantined by now.
+                self.begin(suspect, reply, now);
                 let isolation = self.isolations.get_mut(&service);
                 next = isolation.and_then(isolation::Isolation::take_waiting_if_free);
             }
         }
     }
 
-    fn record_refusal(&mut self, subject: &subject::Subject) {
-        let refused = self.refused.entry(subject.fingerprint).or_default();
-        refused.count += 1;
-        if refused.last.len() >= MAX_REFUSED_IDS {
-            refused.last.pop_front();
-        }
-        refused.last.push_back(subject.request.clone());
-    }
-
     fn update_filter(&mut self) {
         let suspects = self.table.iter().filter(|(_, record)| record.count() > 0);
         self.filter.replace(suspects.map(|(key, _)| key.head));
-        let convicted = self
+        let known = self
             .table
             .iter()
-            .filter(|(_, record)| record.is_convicted());
-        self.counters.set_quarantined(convicted.count());
+            .filter(|(_, record)| record.is_known_cause());
+        self.counters.set_quarantined(known.count());
     }
 
-    fn log_conviction(&self, fingerprint: fingerprint::Fingerprint, source: &'static str) {
-        let Some(record) = self.table.get(fingerprint) else {
-            return;
-        };
-        let requests: Vec<_> = record.open_crashes().map(|crash| &*crash.request).collect();
-        let targets: Vec<_> = record.open_crashes().map(|crash| &*crash.target).collect();
-        tracing::warn!(
-            %fingerprint,
-            service = %record.service,
-            source,
-            requests = requests.join(" "),
-            targets = targets.join(" "),
-            "request quarantined"
-        );
+    fn is_known_cause(&self, fingerprint: fingerprint::Fingerprint) -> bool {
+        let record = self.table.get(fingerprint);
+        record.is_some_and(record::Record::is_known_cause)
     }
-}
 
-fn log_crash(crash: &crash::Crash, blamed: &[fingerprint::Fingerprint]) {
-    let describe = |suspect: &subject::Subject| {
-        let team = suspect.team.as_deref().unwrap_or("-");
-        format!("{}/{}/{team}", suspect.fingerprint, suspect.request)
-    };
-    let suspects = crash.suspects.iter();
-    let blamed = suspects.filter(|suspect| blamed.contains(&suspect.fingerprint));
-    let blamed: Vec<_> = blamed.take(MAX_LOGGED_SUSPECTS).map(describe).collect();
-    tracing::warn!(
-        service = %crash.service,
-        run = crash.run.as_deref(),
-        running = crash.suspects.len(),
-        suspects = blamed.join(" "),
-        "target crashed while it ran requests"
-    );
+    fn report_quarantine(&self, fingerprint: fingerprint::Fingerprint, source: &'static str) {
+        if let Some(record) = self.table.get(fingerprint) {
+            report::quarantined(fingerprint, record, source);
+        }
+    }
 }
 
 fn quarantined(fingerprint: fingerprint::Fingerprint, time: Duration) -> refusal::Refusal {
--- a/crates/node/src/quarantine/watch.rs
+++ b/crates/node/src/quarantine/watch.rs
@@ -6,7 +6,7 @@
 use masticarch_kernel::address;
 use masticarch_model::code;
 
-use super::{content, filter, message, subject, turn};
+use super::{content, filter, message, turn};
 use crate::target::job;
 use crate::{refusal, services};
 
@@ -67,8 +67,8 @@
     /// run of the target.
     pub async fn report_lost(&mut self, address: SocketAddr, run: Option<Box<str>>) {
         self.running = false;
-        let subject = Box::new(subject::Subject::new(&self.job));
-        let lost = message::Message::Lost(subject, address, run);
+        let suspect = Box::new(content::suspect(&self.job));
+        let lost = message::Message::Lost(suspect, address, run);
         let _ = self.quarantine.send(lost).await;
     }
 
@@ -84,8 +84,8 @@
     }
 
     async fn ask(&self) -> message::Decision {
-        let subject = Box::new(subject::Subject::new(&self.job));
-        let begin = |reply| message::Message::Begin(subject, reply);
+        let suspect = Box::new(content::suspect(&self.job));
+        let begin = |reply| message::Message::Begin(suspect, reply);
         let wait = self.job.entry.remaining().min(ISOLATION_WAIT);
         match monoio::time::timeout(wait, self.quarantine.ask(begin)).await {
             Ok(Ok(decision)) => decision,
@@ -101,7 +101,7 @@
 impl Drop for Watch {
     fn drop(&mut self) {
         if self.running {
-            let abandoned = message::Message::Abandoned(Box::new(subject::Subject::new(&self.job)));
+            let abandoned = message::Message::Abandoned(Box::new(content::suspect(&self.job)));
             let _ = self.quarantine.try_send(abandoned);
         }
     }
--- a/crates/node/tests/common/crashing.rs
+++ b/crates/node/tests/common/crashing.rs
@@ -10,14 +10,14 @@
 use super::client;
 
 /// Part of the path of a request that crashes the target.
-pub const DEADLY: &str = "deadly";
+pub const CRASHING: &str = "crashing";
 /// Part of the path of a request that sends the path in its query as a sub-call.
 pub const CALL: &str = "call";
 /// Part of the path of a request that takes [`SLOW_TIME`].
 pub const SLOW: &str = "slow";
 /// Time that a slow request takes.
 pub const SLOW_TIME: Duration = Duration::from_millis(400);
-/// Time that a deadly request runs before the target crashes.
+/// Time that a crashing request runs before the target crashes.
 const TIME_TO_CRASH: Duration = Duration::from_millis(20);
 /// Usual time between a crash and the next run.
 pub const DOWNTIME: Duration = Duration::from_millis(150);
@@ -32,7 +32,7 @@
     pub answered: Arc<AtomicUsize>,
     /// Caller port of the node that sub-calls are sent to.
     pub node: Arc<Mutex<Option<SocketAddr>>>,
-    /// Whether deadly requests are answered from now on.
+    /// Whether crashing requests are answered from now on.
     pub mended: Arc<AtomicBool>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
     crash: Arc<AtomicBool>,
@@ -114,7 +114,7 @@
             if head.contains(SLOW) {
                 thread::sleep(SLOW_TIME);
             }
-            if head.contains(DEADLY) && !self.mended.load(Ordering::SeqCst) {
+            if head.contains(CRASHING) && !self.mended.load(Ordering::SeqCst) {
                 thread::sleep(TIME_TO_CRASH);
                 return self.crash();
             }
--- a/crates/node/tests/fingerprint.rs
+++ b/crates/node/tests/fingerprint.rs
@@ -48,7 +48,7 @@
     assert_eq!(content::fingerprint(&job()), content::fingerprint(&copy));
 }
 
-// Guards against the refusal of requests that only resemble a deadly one, of those of other
+// Guards against the refusal of requests that only resemble a crashing one, of those of other
 // teams among them.
 #[rstest]
 #[case::team(|job: &mut job::Job| job.entry.team = Some("calama".into()))]
--- a/crates/node/tests/quarantine.rs
+++ b/crates/node/tests/quarantine.rs
@@ -93,7 +93,7 @@
 fn copies_of_a_request_do_not_crash_target_after_target() {
     let fleet = fleet(3);
 
-    let answers = fleet.send_copies("/guiones/deadly", 20);
+    let answers = fleet.send_copies("/guiones/crashing", 20);
     let harmless = fleet.send_copies("/guiones/harmless", 4);
 
     assert!(fleet.crashes() <= MAX_CRASHES, "{}", fleet.crashes());
@@ -105,7 +105,7 @@
     }
 }
 
-// Guards against a deadly request whose caller leaves before the target crashes.
+// Guards against a crashing request whose caller leaves before the target crashes.
 #[test]
 fn abandoned_copies_do_not_crash_target_after_target() {
     // Long enough for harmless requests to find out that a target is down.
@@ -114,7 +114,7 @@
 
     for index in 0..12 {
         let mut stream = client::connect(fleet.nodes[index % 3].caller);
-        let request = client::get("/guiones/slow-deadly", "");
+        let request = client::get("/guiones/slow-crashing", "");
         stream.write_all(&request).unwrap();
         thread::sleep(crashing::SLOW_TIME / 4);
         drop(stream);
@@ -127,9 +127,9 @@
     assert!(fleet.crashes() <= MAX_CRASHES, "{}", fleet.crashes());
 }
 
-// Guards against the refusal of a harmless request that runs whenever a deadly one does.
+// Guards against the refusal of a harmless request that runs whenever a crashing one does.
 #[test]
-fn harmless_request_beside_a_deadly_one_is_served() {
+fn harmless_request_beside_a_crashing_one_is_served() {
     let fleet = fleet(3);
     let caller = fleet.entry.caller;
     let harmless = thread::spawn(move || {
@@ -137,7 +137,7 @@
         (0..12).map(send).collect::<Vec<_>>()
     });
 
-    fleet.send_copies("/guiones/deadly", 20);
+    fleet.send_copies("/guiones/crashing", 20);
     let harmless = harmless.join().unwrap();
     let last = client::exchange(caller, &client::get("/guiones/slow", ""));
 
@@ -226,11 +226,11 @@
     );
 }
 
-// Guards against a node that runs a deadly request because it has just started.
+// Guards against a node that runs a crashing request because it has just started.
 #[test]
 fn restarted_node_learns_which_requests_are_refused() {
     let mut fleet = fleet(3);
-    fleet.send_copies("/guiones/deadly", 8);
+    fleet.send_copies("/guiones/crashing", 8);
     let mut node = fleet.nodes.remove(0);
 
     node.stop();
@@ -242,7 +242,7 @@
     assert!(fleet.crashes() <= MAX_CRASHES, "{}", fleet.crashes());
 }
 
-// Guards against a node that runs a deadly request because it was cut off while the others
+// Guards against a node that runs a crashing request because it was cut off while the others
 // learnt of it.
 #[test]
 fn node_that_was_cut_off_learns_which_requests_are_refused() {
@@ -257,7 +257,7 @@
     proxy.set_frozen(true);
     for node in [0, 1, 0, 1] {
         let caller = fleet.nodes[node].caller;
-        client::exchange(caller, &client::get("/guiones/deadly", ""));
+        client::exchange(caller, &client::get("/guiones/crashing", ""));
         thread::sleep(crashing::DOWNTIME);
     }
     fleet::wait_for(|| refuses_any(&fleet.nodes[0]));
@@ -276,7 +276,7 @@
 
     control.set_frozen(true);
     thread::sleep(SHARING_TIME);
-    let answers = fleet.send_copies("/guiones/deadly", 12);
+    let answers = fleet.send_copies("/guiones/crashing", 12);
     control.set_frozen(false);
 
     assert!(fleet.crashes() <= MAX_CRASHES, "{}", fleet.crashes());
@@ -284,14 +284,14 @@
     assert!(last.contains("masticarch-reason: quarantined"), "{last}");
 }
 
-// Guards against a deadly request that gets through because another request sends it.
+// Guards against a crashing request that gets through because another request sends it.
 #[test]
-fn deadly_sub_calls_are_refused() {
+fn crashing_sub_calls_are_refused() {
     let fleet = fleet(3);
 
     let answers: Vec<_> = (0..15)
         .map(|index| {
-            let path = format!("/guiones/call-{index}?/guiones/deadly");
+            let path = format!("/guiones/call-{index}?/guiones/crashing");
             fleet.send_copies(&path, 1).remove(0)
         })
         .collect();
@@ -306,20 +306,20 @@
 #[test]
 fn request_is_served_again_once_the_targets_are_mended() {
     let fleet = fleet(3);
-    let id = "masticarch-request-id: deadly-1\r\n";
-    client::exchange(fleet.entry.caller, &client::get("/guiones/deadly", id));
-    fleet.send_copies("/guiones/deadly", 8);
+    let id = "masticarch-request-id: crashing-1\r\n";
+    client::exchange(fleet.entry.caller, &client::get("/guiones/crashing", id));
+    fleet.send_copies("/guiones/crashing", 8);
     let quarantine = client::exchange(fleet.nodes[0].admin, &client::get("/quarantine", ""));
     for target in &fleet.targets {
         target.mended.store(true, Ordering::SeqCst);
     }
 
     fleet::wait_for(|| {
-        let answer = client::exchange(fleet.entry.caller, &client::get("/guiones/deadly", ""));
+        let answer = client::exchange(fleet.entry.caller, &client::get("/guiones/crashing", ""));
         answer.starts_with("HTTP/1.1 200 ")
     });
     thread::sleep(SHARING_TIME);
 
-    assert!(quarantine.contains("deadly-1"), "{quarantine}");
+    assert!(quarantine.contains("crashing-1"), "{quarantine}");
     assert!(!fleet.nodes.iter().any(refuses_any));
 }
--- a/crates/policy/src/quarantine/verdict.rs
+++ b/crates/policy/src/quarantine/decision.rs
@@ -4,11 +4,11 @@
 
 /// Decision on a request that is about to run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Verdict {
+pub enum Decision {
     /// It may run.
-    Pass,
+    Run,
     /// It may run while no other such request runs at the same target, so that a crash is
-    /// put down to the right one.
+    /// attributed to the right one.
     Isolate,
     /// It may not run for this time.
     Refuse(Duration),
--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -4,8 +4,9 @@
 //! a request, so that only those that never complete collect crashes.
 
 pub mod crash;
+pub mod decision;
+pub mod evidence;
 pub mod fingerprint;
 pub mod record;
 pub mod suspect;
 pub mod table;
-pub mod verdict;
--- a/crates/policy/src/quarantine/record.rs
+++ b/crates/policy/src/quarantine/record.rs
@@ -4,7 +4,7 @@
 
 use masticarch_model::name;
 
-use super::{crash, verdict};
+use super::{decision, evidence};
 
 /// Crashes from which on a request runs in isolation.
 const ISOLATION_CRASHES: usize = 2;
@@ -17,8 +17,8 @@
 /// Part of its length by which nodes prolong a quarantine at random, so that one of them
 /// tries the request before the others.
 const QUARANTINE_SPREAD: f64 = 0.5;
-/// Most crashes that are kept.
-const MAX_CRASHES: usize = 8;
+/// Most crashes that are kept for a request.
+const MAX_EVIDENCE: usize = 8;
 /// Time after the last crash, or the end of the quarantine, at which a record is dropped.
 const RETENTION: Duration = Duration::from_mins(10);
 /// Time for which a cleared record is kept, so that a late report does not bring it back.
@@ -30,7 +30,7 @@
     /// Service of the targets.
     pub service: name::Name,
     /// The latest crashes, in the order in which this node learnt of them.
-    pub crashes: Vec<crash::Crash>,
+    pub evidence: Vec<evidence::Evidence>,
     /// Version of the table at the last change that this node made; 0 when it has only
     /// learnt of changes from other nodes.
     pub version: u64,
@@ -48,7 +48,7 @@
     pub const fn new(service: name::Name, min_quarantine: Duration, now: Instant) -> Self {
         Self {
             service,
-            crashes: Vec::new(),
+            evidence: Vec::new(),
             version: 0,
             min_quarantine,
             changed: now,
@@ -57,61 +57,66 @@
     }
 
     /// Crashes that count against the request.
-    pub fn open_crashes(&self) -> impl Iterator<Item = &crash::Crash> {
-        self.crashes.iter().filter(|crash| !crash.cleared)
+    pub fn open_evidence(&self) -> impl Iterator<Item = &evidence::Evidence> {
+        self.evidence.iter().filter(|evidence| !evidence.cleared)
     }
 
     /// Number of crashes that count against the request.
     #[must_use]
     pub fn count(&self) -> usize {
-        self.open_crashes().count()
+        self.open_evidence().count()
     }
 
-    /// Whether the evidence is enough for a quarantine.
+    /// Whether the request is known to crash targets.
     #[must_use]
-    pub fn is_convicted(&self) -> bool {
-        self.count() >= QUARANTINE_CRASHES && self.open_crashes().any(|crash| crash.conclusive)
+    pub fn is_known_cause(&self) -> bool {
+        self.count() >= QUARANTINE_CRASHES
+            && self.open_evidence().any(|evidence| evidence.conclusive)
     }
 
     /// End of the quarantine; `None` without one.
     #[must_use]
     pub fn quarantined_until(&self) -> Option<Instant> {
-        let last = self.open_crashes().map(|crash| crash.at).max()?;
-        self.is_convicted().then(|| last + self.quarantine())
+        let last = self.open_evidence().map(|evidence| evidence.at).max()?;
+        self.is_known_cause().then(|| last + self.quarantine())
     }
 
     /// Decision on the request.
     #[must_use]
-    pub fn verdict(&self, now: Instant) -> verdict::Verdict {
+    pub fn decision(&self, now: Instant) -> decision::Decision {
         match self.quarantined_until() {
-            Some(until) if until > now => verdict::Verdict::Refuse(until - now),
-            _ if self.count() >= ISOLATION_CRASHES => verdict::Verdict::Isolate,
-            _ => verdict::Verdict::Pass,
+            Some(until) if until > now => decision::Decision::Refuse(until - now),
+            _ if self.count() >= ISOLATION_CRASHES => decision::Decision::Isolate,
+            _ => decision::Decision::Run,
         }
     }
 
     /// Adds a crash, or merges what another node knows of a known one. Returns whether
     /// anything has changed.
-    pub fn add(&mut self, crash: crash::Crash) -> bool {
-        let known = self.crashes.iter_mut().find(|known| known.id == crash.id);
+    pub fn add(&mut self, evidence: evidence::Evidence) -> bool {
+        let known = self
+            .evidence
+            .iter_mut()
+            .find(|known| known.crash == evidence.crash);
         if let Some(known) = known {
-            let changed = crash.cleared && !known.cleared || crash.conclusive && !known.conclusive;
-            known.cleared |= crash.cleared;
-            known.conclusive |= crash.conclusive;
+            let changed =
+                evidence.cleared && !known.cleared || evidence.conclusive && !known.conclusive;
+            known.cleared |= evidence.cleared;
+            known.conclusive |= evidence.conclusive;
             return changed;
         }
-        if self.crashes.len() >= MAX_CRASHES {
-            self.crashes.remove(0);
+        if self.evidence.len() >= MAX_EVIDENCE {
+            self.evidence.remove(0);
         }
-        self.crashes.push(crash);
+        self.evidence.push(evidence);
         true
     }
 
     /// Clears the request of all crashes. Returns whether any counted against it.
     pub fn clear(&mut self) -> bool {
         let open = self.count() > 0;
-        for crash in &mut self.crashes {
-            crash.cleared = true;
+        for evidence in &mut self.evidence {
+            evidence.cleared = true;
         }
         open
     }
--- a/crates/policy/src/quarantine/table.rs
+++ b/crates/policy/src/quarantine/table.rs
@@ -4,7 +4,7 @@
 
 use masticarch_model::{map, name};
 
-use super::{crash, fingerprint, record, suspect, verdict};
+use super::{crash, decision, evidence, fingerprint, record, suspect};
 
 /// Most records in a table; a record takes less than 2 KB.
 const MAX_RECORDS: usize = 4096;
@@ -37,9 +37,13 @@
 
     /// Decision on a request.
     #[must_use]
-    pub fn verdict(&self, fingerprint: fingerprint::Fingerprint, now: Instant) -> verdict::Verdict {
+    pub fn decision(
+        &self,
+        fingerprint: fingerprint::Fingerprint,
+        now: Instant,
+    ) -> decision::Decision {
         let record = self.records.get(&fingerprint);
-        record.map_or(verdict::Verdict::Pass, |record| record.verdict(now))
+        record.map_or(decision::Decision::Run, |record| record.decision(now))
     }
 
     /// The record of a request.
@@ -48,6 +52,12 @@
         self.records.get(&fingerprint)
     }
 
+    /// Whether there is no record.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
     /// All records, in no order.
     pub fn iter(&self) -> impl Iterator<Item = (fingerprint::Fingerprint, &record::Record)> {
         self.records.iter().map(|(key, record)| (*key, record))
@@ -59,11 +69,10 @@
         self.version
     }
 
-    /// Puts a crash of a target down to those suspects that have been under most crashes
-    /// before, and returns them. The others are not blamed: a likelier cause was there.
-    pub fn blame(
+    /// Attributes a crash of a target to those suspects that have been under most crashes
+    /// before, and returns them: they are its likeliest cause.
+    pub fn attribute(
         &mut self,
-        service: &name::Name,
         suspects: &[suspect::Suspect],
         (id, target): (crash::Id, &str),
         random: f64,
@@ -74,13 +83,13 @@
             record.map_or(0, record::Record::count)
         };
         let most = suspects.iter().map(count).max().unwrap_or(0);
-        let blamed = suspects.iter().filter(|suspect| count(suspect) == most);
-        let blamed: Vec<_> = blamed.cloned().collect();
-        let alone = blamed.len() == 1 && most + 1 >= record::QUARANTINE_CRASHES;
-        let conclusive = alone && self.is_likely_cause(blamed[0].fingerprint);
-        for suspect in &blamed {
-            let crash = crash::Crash {
-                id,
+        let causes = suspects.iter().filter(|suspect| count(suspect) == most);
+        let causes: Vec<_> = causes.cloned().collect();
+        let alone = causes.len() == 1 && most + 1 >= record::QUARANTINE_CRASHES;
+        let conclusive = alone && self.is_likely_cause(causes[0].fingerprint);
+        for suspect in &causes {
+            let evidence = evidence::Evidence {
+                crash: id,
                 at: now,
                 target: target.into(),
                 request: suspect.request.clone(),
@@ -89,13 +98,13 @@
             };
             self.version += 1;
             let version = self.version;
-            let record = self.record(suspect.fingerprint, service, now);
-            record.add(crash);
+            let record = self.record(suspect.fingerprint, &suspect.service, now);
+            record.add(evidence);
             record.version = version;
             record.changed = now;
             record.spread = random;
         }
-        blamed.iter().map(|suspect| suspect.fingerprint).collect()
+        causes.iter().map(|suspect| suspect.fingerprint).collect()
     }
 
     /// Clears a request that has completed. Returns whether anything counted against it.
@@ -118,19 +127,19 @@
         &mut self,
         fingerprint: fingerprint::Fingerprint,
         service: &name::Name,
-        crashes: impl Iterator<Item = crash::Crash>,
+        evidence: impl Iterator<Item = evidence::Evidence>,
         random: f64,
         now: Instant,
     ) -> bool {
         let record = self.record(fingerprint, service, now);
-        let convicted = record.is_convicted();
-        for crash in crashes {
-            if record.add(crash) {
+        let was_known = record.is_known_cause();
+        for evidence in evidence {
+            if record.add(evidence) {
                 record.changed = now;
                 record.spread = random;
             }
         }
-        !convicted && record.is_convicted()
+        !was_known && record.is_known_cause()
     }
 
     /// Drops records that are of no more use.
@@ -145,15 +154,15 @@
         let Some(record) = self.records.get(&fingerprint) else {
             return false;
         };
-        let Some(first) = record.open_crashes().map(|crash| crash.at).min() else {
+        let Some(first) = record.open_evidence().map(|evidence| evidence.at).min() else {
             return false;
         };
         let mut unexplained: map::Map<crash::Id, bool> = map::Map::default();
         for other in self.records.values() {
-            for crash in &other.crashes {
-                if other.service == record.service && crash.at >= first {
-                    let explained = !crash.cleared && other.count() > 1;
-                    *unexplained.entry(crash.id).or_insert(true) &= !explained;
+            for evidence in &other.evidence {
+                if other.service == record.service && evidence.at >= first {
+                    let explained = !evidence.cleared && other.count() > 1;
+                    *unexplained.entry(evidence.crash).or_insert(true) &= !explained;
                 }
             }
         }
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -3,10 +3,10 @@
 use std::time::{Duration, Instant};
 
 use masticarch_model::{incarnation, name};
-use masticarch_policy::quarantine::{crash, fingerprint, suspect, table, verdict};
+use masticarch_policy::quarantine::{crash, decision, evidence, fingerprint, suspect, table};
 
 const SECOND: Duration = Duration::from_secs(1);
-const DEADLY: u128 = 1;
+const CRASHING: u128 = 1;
 const HARMLESS: u128 = 2;
 
 /// A table, with the number of crashes that it has seen.
@@ -34,17 +34,19 @@
         };
         let suspects: Vec<_> = running.iter().map(|body| suspect(*body)).collect();
         let now = self.start + second * SECOND;
-        let service = service();
-        self.table.blame(&service, &suspects, (id, "i-1"), 0.0, now);
+        self.table.attribute(&suspects, (id, "i-1"), 0.0, now);
     }
 
-    fn verdict(&self, second: u32, request: u128) -> verdict::Verdict {
+    fn decision(&self, second: u32, request: u128) -> decision::Decision {
         let now = self.start + second * SECOND;
-        self.table.verdict(fingerprint(request), now)
+        self.table.decision(fingerprint(request), now)
     }
 
     fn is_refused(&self, second: u32, request: u128) -> bool {
-        matches!(self.verdict(second, request), verdict::Verdict::Refuse(_))
+        matches!(
+            self.decision(second, request),
+            decision::Decision::Refuse(_)
+        )
     }
 }
 
@@ -60,13 +62,15 @@
     suspect::Suspect {
         fingerprint: fingerprint(body),
         request: format!("request-{body}").into(),
+        service: service(),
+        team: None,
     }
 }
 
 /// A crash as another node tells of it.
-fn remote_crash(sequence: u64, at: Instant, cleared: bool) -> crash::Crash {
-    crash::Crash {
-        id: crash::Id {
+fn remote_crash(sequence: u64, at: Instant, cleared: bool) -> evidence::Evidence {
+    evidence::Evidence {
+        crash: crash::Id {
             node: incarnation::Incarnation(2),
             sequence,
         },
@@ -83,30 +87,30 @@
 fn request_is_refused_after_three_crashes() {
     let mut fixture = Fixture::new();
 
-    fixture.crash(0, &[DEADLY, HARMLESS]);
-    let after_one = fixture.verdict(0, DEADLY);
-    fixture.crash(1, &[DEADLY, 3, 4]);
-    let after_two = fixture.verdict(1, DEADLY);
-    fixture.crash(2, &[DEADLY, 5, 6]);
-    let after_three = fixture.verdict(2, DEADLY);
+    fixture.crash(0, &[CRASHING, HARMLESS]);
+    let after_one = fixture.decision(0, CRASHING);
+    fixture.crash(1, &[CRASHING, 3, 4]);
+    let after_two = fixture.decision(1, CRASHING);
+    fixture.crash(2, &[CRASHING, 5, 6]);
+    let after_three = fixture.decision(2, CRASHING);
 
-    assert_eq!(after_one, verdict::Verdict::Pass);
-    assert_eq!(after_two, verdict::Verdict::Isolate);
-    assert_eq!(after_three, verdict::Verdict::Refuse(30 * SECOND));
+    assert_eq!(after_one, decision::Decision::Run);
+    assert_eq!(after_two, decision::Decision::Isolate);
+    assert_eq!(after_three, decision::Decision::Refuse(30 * SECOND));
 }
 
 // Guards against the refusal of requests that ran beside one that crashes its targets.
 #[test]
-fn requests_beside_a_known_suspect_are_not_blamed() {
+fn crash_is_not_attributed_to_requests_beside_a_known_suspect() {
     let mut fixture = Fixture::new();
-    fixture.crash(0, &[DEADLY]);
+    fixture.crash(0, &[CRASHING]);
 
     for second in 1..5 {
-        fixture.crash(second, &[DEADLY, HARMLESS]);
+        fixture.crash(second, &[CRASHING, HARMLESS]);
     }
 
-    assert!(fixture.is_refused(5, DEADLY));
-    assert_eq!(fixture.verdict(5, HARMLESS), verdict::Verdict::Pass);
+    assert!(fixture.is_refused(5, CRASHING));
+    assert_eq!(fixture.decision(5, HARMLESS), decision::Decision::Run);
 }
 
 // Guards against a quarantine of two requests of which one was only there by chance.
@@ -115,13 +119,13 @@
     let mut fixture = Fixture::new();
 
     for second in 0..3 {
-        fixture.crash(second, &[DEADLY, HARMLESS]);
+        fixture.crash(second, &[CRASHING, HARMLESS]);
     }
 
-    assert_eq!(fixture.verdict(3, DEADLY), verdict::Verdict::Isolate);
-    assert_eq!(fixture.verdict(3, HARMLESS), verdict::Verdict::Isolate);
-    fixture.crash(4, &[DEADLY]);
-    assert!(fixture.is_refused(5, DEADLY));
+    assert_eq!(fixture.decision(3, CRASHING), decision::Decision::Isolate);
+    assert_eq!(fixture.decision(3, HARMLESS), decision::Decision::Isolate);
+    fixture.crash(4, &[CRASHING]);
+    assert!(fixture.is_refused(5, CRASHING));
     assert!(!fixture.is_refused(5, HARMLESS));
 }
 
@@ -136,7 +140,7 @@
         fixture.table.complete(fingerprint(HARMLESS), now);
     }
 
-    assert_eq!(fixture.verdict(9, HARMLESS), verdict::Verdict::Pass);
+    assert_eq!(fixture.decision(9, HARMLESS), decision::Decision::Run);
 }
 
 // Guards against a caller whose many different bad requests get another's long-running
@@ -157,19 +161,19 @@
     assert!(!fixture.is_refused(30, HARMLESS));
 }
 
-// Guards against several deadly requests that hide each other.
+// Guards against several crashing requests that hide each other.
 #[test]
-fn several_deadly_requests_are_all_refused() {
+fn several_crashing_requests_are_all_refused() {
     let mut fixture = Fixture::new();
-    let deadly: Vec<u128> = (10..18).collect();
+    let crashing: Vec<u128> = (10..18).collect();
 
     for round in 0..3 {
-        for request in &deadly {
+        for request in &crashing {
             fixture.crash(round, &[*request]);
         }
     }
 
-    for request in deadly {
+    for request in crashing {
         assert!(fixture.is_refused(3, request), "{request}");
     }
 }
@@ -179,19 +183,22 @@
 #[test]
 fn quarantine_doubles_with_each_crash_up_to_a_bound() {
     let mut fixture = Fixture::new();
-    fixture.crash(0, &[DEADLY]);
-    fixture.crash(0, &[DEADLY]);
+    fixture.crash(0, &[CRASHING]);
+    fixture.crash(0, &[CRASHING]);
     let mut lengths = Vec::new();
     let mut second = 0;
 
     for _ in 0..8 {
-        fixture.crash(second, &[DEADLY]);
-        let verdict::Verdict::Refuse(length) = fixture.verdict(second, DEADLY) else {
+        fixture.crash(second, &[CRASHING]);
+        let decision::Decision::Refuse(length) = fixture.decision(second, CRASHING) else {
             panic!("not refused");
         };
         lengths.push(length.as_secs());
         second += u32::try_from(length.as_secs()).unwrap();
-        assert_eq!(fixture.verdict(second, DEADLY), verdict::Verdict::Isolate);
+        assert_eq!(
+            fixture.decision(second, CRASHING),
+            decision::Decision::Isolate
+        );
     }
 
     assert_eq!(lengths, [30, 60, 120, 240, 480, 600, 600, 600]);
@@ -202,14 +209,14 @@
 fn request_that_completes_after_its_quarantine_is_free() {
     let mut fixture = Fixture::new();
     for second in 0..3 {
-        fixture.crash(second, &[DEADLY]);
+        fixture.crash(second, &[CRASHING]);
     }
     let now = fixture.start + 40 * SECOND;
 
-    let cleared = fixture.table.complete(fingerprint(DEADLY), now);
+    let cleared = fixture.table.complete(fingerprint(CRASHING), now);
 
     assert!(cleared);
-    assert_eq!(fixture.verdict(40, DEADLY), verdict::Verdict::Pass);
+    assert_eq!(fixture.decision(40, CRASHING), decision::Decision::Run);
 }
 
 // Guards against a node that does not know what the others of its service know.
@@ -223,17 +230,17 @@
         let crash = [crash].into_iter();
         fixture
             .table
-            .merge(fingerprint(DEADLY), &service(), crash, 0.0, start);
+            .merge(fingerprint(CRASHING), &service(), crash, 0.0, start);
     }
-    let after_two = fixture.verdict(0, DEADLY);
+    let after_two = fixture.decision(0, CRASHING);
     let third = [remote_crash(3, start, false)].into_iter();
-    let convicted = fixture
+    let quarantined = fixture
         .table
-        .merge(fingerprint(DEADLY), &service(), third, 0.0, start);
+        .merge(fingerprint(CRASHING), &service(), third, 0.0, start);
 
-    assert_eq!(after_two, verdict::Verdict::Isolate);
-    assert!(convicted);
-    assert!(fixture.is_refused(0, DEADLY));
+    assert_eq!(after_two, decision::Decision::Isolate);
+    assert!(quarantined);
+    assert!(fixture.is_refused(0, CRASHING));
 }
 
 // Guards against a late report that brings back what a completed run has cleared.
@@ -243,13 +250,13 @@
     let start = fixture.start;
     let merge = |table: &mut table::Table, cleared: bool| {
         let crashes = (1..4).map(|sequence| remote_crash(sequence, start, cleared));
-        table.merge(fingerprint(DEADLY), &service(), crashes, 0.0, start)
+        table.merge(fingerprint(CRASHING), &service(), crashes, 0.0, start)
     };
 
     merge(&mut fixture.table, true);
     merge(&mut fixture.table, false);
 
-    assert_eq!(fixture.verdict(0, DEADLY), verdict::Verdict::Pass);
+    assert_eq!(fixture.decision(0, CRASHING), decision::Decision::Run);
 }
 
 // Guards against a caller that fills the memory of nodes with many different bad requests,
@@ -258,7 +265,7 @@
 fn many_different_bad_requests_leave_the_table_bounded() {
     let mut fixture = Fixture::new();
     for second in 0..3 {
-        fixture.crash(second, &[DEADLY]);
+        fixture.crash(second, &[CRASHING]);
     }
 
     for request in 0..10_000 {
@@ -266,7 +273,7 @@
     }
 
     assert!(fixture.table.iter().count() <= 4096);
-    assert!(fixture.is_refused(4, DEADLY));
+    assert!(fixture.is_refused(4, CRASHING));
 }
 
 // Guards against records that are kept for good.
@@ -274,7 +281,7 @@
 fn records_expire() {
     let mut fixture = Fixture::new();
     for second in 0..3 {
-        fixture.crash(second, &[DEADLY]);
+        fixture.crash(second, &[CRASHING]);
     }
 
     fixture.table.expire(fixture.start + 600 * SECOND);
--- a/crates/testsuite/tests/soak_quarantine.rs
+++ b/crates/testsuite/tests/soak_quarantine.rs
@@ -19,14 +19,14 @@
 const FAULT_TIME: Duration = Duration::from_secs(12);
 /// Time for which requests arrive.
 const LOAD_TIME: Duration = Duration::from_secs(16);
-/// Index of the load of deadly requests in the plan.
-const DEADLY: usize = 0;
+/// Index of the load of crashing requests in the plan.
+const CRASHING: usize = 0;
 /// Nodes beside a target of `scripts`.
 const SCRIPTS_NODES: std::ops::Range<usize> = 2..5;
-/// Runs of the deadly request until it is known, and those that are under way then.
-const MAX_DEADLY_RUNS: u64 = 6;
+/// Runs of the crashing request until it is known, and those that are under way then.
+const MAX_CRASHING_RUNS: u64 = 6;
 /// Further runs for each outage of a node that knew the request.
-const DEADLY_RUNS_PER_OUTAGE: u64 = 3;
+const CRASHING_RUNS_PER_OUTAGE: u64 = 3;
 
 struct Run {
     report: generator::Report,
@@ -34,7 +34,7 @@
     executions: Vec<standin::record::Executions>,
 }
 
-/// Two entry nodes without a target, three targets of `scripts`, which a deadly request
+/// Two entry nodes without a target, three targets of `scripts`, which a crashing request
 /// crashes, and two of `orders`, whose requests run once at most.
 async fn fixture(seed: u64) -> (fleet::Fleet, generator::Plan) {
     let mut objects = objects::Objects::new(seed, &["normal"]);
@@ -67,7 +67,7 @@
             factor: 1.0,
         }])
         .teams(vec![
-            load("/scripts/deadly", 5.0, true, &key),
+            load("/scripts/crash", 5.0, true, &key),
             load("/scripts/popular", 30.0, true, &key),
             load("/scripts/other", 30.0, false, &key),
             load("/orders/1", 30.0, false, &key),
@@ -111,7 +111,7 @@
 
 impl Run {
     /// Crashes that were not injected.
-    fn deadly_crashes(&self) -> u64 {
+    fn crashing_crashes(&self) -> u64 {
         let crashes = self.executions.iter();
         let crashes: u64 = crashes.map(|executions| executions.crashes).sum();
         crashes.saturating_sub(self.history.crashes)
@@ -123,14 +123,14 @@
         let outages = self.history.outages.iter();
         let outages = outages.filter(|(node, _)| SCRIPTS_NODES.contains(node));
         let outages = u64::try_from(outages.count()).unwrap();
-        let allowed = MAX_DEADLY_RUNS + DEADLY_RUNS_PER_OUTAGE * outages;
-        let crashes = self.deadly_crashes();
+        let allowed = MAX_CRASHING_RUNS + CRASHING_RUNS_PER_OUTAGE * outages;
+        let crashes = self.crashing_crashes();
         if crashes > allowed {
-            found.push(format!("deadly: {crashes} crashes, allowed {allowed}"));
+            found.push(format!("crashing: {crashes} crashes, allowed {allowed}"));
         }
         for record in &self.report.records {
             let quarantined = code_of(record) == Some(code::Code::Quarantined.number());
-            if quarantined && record.id.team != DEADLY {
+            if quarantined && record.id.team != CRASHING {
                 found.push(format!("harmless: {record:?}"));
             }
             if record.outcome == record::Outcome::Mismatched {
@@ -151,19 +151,19 @@
 // Guards against a request that ends targets again and again, and against harmless ones
 // that are refused for it, while nodes, targets and control processes fail.
 #[test]
-fn deadly_requests_are_contained_under_random_faults() {
+fn crashing_requests_are_contained_under_random_faults() {
     for seed in seeds::chosen(&DEFAULT_SEEDS) {
         let run = runtime::run(run(seed)).unwrap();
 
         let violations = run.violations();
 
-        let harmless = run.report.requests().filter(|one| one.id.team != DEADLY);
+        let harmless = run.report.requests().filter(|one| one.id.team != CRASHING);
         let (mut served, mut total) = (0, 0);
         for request in harmless {
             total += 1;
             served += u32::from(request.is_served());
         }
-        let crashes = run.deadly_crashes();
+        let crashes = run.crashing_crashes();
         println!("seed {seed}: {crashes} crashes, {served} of {total} harmless requests served");
         let steps = run.history.steps.join("\n");
         assert!(
