--- a/crates/testsuite/src/soak/mod.rs
+++ b/crates/testsuite/src/soak/mod.rs
@@ -4,6 +4,7 @@
 pub mod injector;
 pub mod mode;
 mod repair;
+pub mod run;
 pub mod sample;
 pub mod seeds;
 pub mod statement;
--- a/crates/testsuite/tests/soak.rs
+++ b/crates/testsuite/tests/soak.rs
@@ -5,13 +5,11 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use futures::future;
 use masticarch_kernel::runtime;
 use masticarch_load::fleet::{self, objects};
-use masticarch_load::generator::{self, plan, record, team};
-use masticarch_load::standin;
+use masticarch_load::generator::{self, plan, record};
 use masticarch_testsuite::setup;
-use masticarch_testsuite::soak::{history, injector, mode, sample, seeds, statement};
+use masticarch_testsuite::soak::{injector, mode, run, sample, seeds, statement};
 
 /// Seeds that run without a choice: the first of each mode, and two in which the node
 /// beside a target restarts just after the target has stated that it leaves.
@@ -32,11 +30,8 @@
 /// its connection.
 const CROSSING_TIME: Duration = Duration::from_millis(100);
 
-struct Run {
-    report: generator::Report,
-    history: history::History,
-    executions: Vec<standin::record::Executions>,
-}
+/// A run with the checks of this soak.
+struct Soak(run::Run);
 
 const fn mode_of(seed: u64) -> mode::Mode {
     if seed.is_multiple_of(2) {
@@ -71,6 +66,8 @@
         .seed(seed)
         .build();
     let fleet = setup::fleet(&spec, objects).await;
+    let mut orders = run::load("/orders", RATE, &key);
+    orders.idempotency_key = true;
     let plan = generator::Plan::builder()
         .entries(fleet.callers())
         .seed(seed)
@@ -78,52 +75,22 @@
             duration_ms: u64::try_from(LOAD_TIME.as_millis()).unwrap(),
             factor: 1.0,
         }])
-        .teams(vec![
-            load("/orders", true, &key),
-            load("/scripts", false, &key),
-        ])
+        .teams(vec![orders, run::load("/scripts", RATE, &key)])
         .build();
     (fleet, plan)
 }
 
-fn load(path: &str, once: bool, key: &str) -> generator::Team {
-    let resend = team::Resend {
-        attempts: 2,
-        backoff_ms: 100,
-        elsewhere: true,
-    };
-    let mut load = generator::Team::builder()
-        .name(path)
-        .path(path)
-        .rate(RATE)
-        .idempotency_key(once)
-        .resend(resend)
-        .build();
-    load.key = Some(key.to_owned());
-    load
-}
-
-async fn run(seed: u64) -> Run {
-    let (mut fleet, plan) = fixture(seed).await;
+async fn soak(seed: u64) -> Soak {
+    let (fleet, plan) = fixture(seed).await;
     let injector = injector::Injector::new(seed, mode_of(seed));
-    let faults = injector.run(&mut fleet, FAULT_TIME);
-    let (report, history) = future::join(generator::run(plan), faults).await;
-    let mut executions = Vec::new();
-    for target in fleet.nodes.iter().filter_map(|node| node.target.as_ref()) {
-        executions.push(target.executions().await.unwrap());
-    }
-    Run {
-        report: report.unwrap(),
-        history,
-        executions,
-    }
+    Soak(run::Run::collect(fleet, plan, injector, FAULT_TIME).await)
 }
 
-impl Run {
+impl Soak {
     /// Executions of a request of `orders`, at all targets.
     fn executions_of(&self, id: record::Id) -> u64 {
-        let key = record::request_id(self.report.plan.seed, id);
-        let counts = self.executions.iter();
+        let key = record::request_id(self.0.report.plan.seed, id);
+        let counts = self.0.executions.iter();
         counts
             .filter_map(|executions| executions.by_idempotency_key.get(&key))
             .sum()
@@ -134,7 +101,7 @@
         let mut found = Vec::new();
         self.check_answers(&mut found);
         self.check_orders(&mut found);
-        for statement in &self.history.statements {
+        for statement in &self.0.history.statements {
             match statement.rate_limit {
                 Some(rate) => self.check_rate(statement, rate, &mut found),
                 None => self.check_leaving(statement, &mut found),
@@ -145,10 +112,10 @@
 
     /// A caller gets the answer to its own request, and a planned stop cuts off none.
     fn check_answers(&self, found: &mut Vec<String>) {
-        for record in &self.report.records {
+        for record in &self.0.report.records {
             let lost = record.outcome == record::Outcome::Disconnected
                 && record.ended.saturating_sub(record.sent) > CROSSING_TIME
-                && mode_of(self.report.plan.seed) == mode::Mode::Planned;
+                && mode_of(self.0.report.plan.seed) == mode::Mode::Planned;
             if lost || record.outcome == record::Outcome::Mismatched {
                 found.push(format!("answer: {record:?}"));
             }
@@ -159,6 +126,7 @@
     fn check_orders(&self, found: &mut Vec<String>) {
         let mut requests: BTreeMap<record::Id, Vec<&record::Record>> = BTreeMap::new();
         let orders = self
+            .0
             .report
             .records
             .iter()
@@ -180,7 +148,7 @@
 
     /// A target gets at most one and a half times its stated rate, and five requests more.
     fn check_rate(&self, statement: &statement::Statement, rate: u32, found: &mut Vec<String>) {
-        let samples = &self.history.samples[&statement.node];
+        let samples = &self.0.history.samples[&statement.node];
         let allowed = 1.5 * f64::from(rate) * WINDOW.as_secs_f64() + 5.0;
         let holds = |at: Instant| {
             at > statement.from + SETTLE_TIME && statement.to.is_none_or(|to| at < to)
@@ -206,9 +174,9 @@
     /// was frozen since.
     fn check_leaving(&self, statement: &statement::Statement, found: &mut Vec<String>) {
         let holds = |at: Instant| at >= statement.from && statement.to.is_none_or(|to| at < to);
-        let samples = self.history.samples[&statement.node].iter();
+        let samples = self.0.history.samples[&statement.node].iter();
         let samples: Vec<_> = samples.filter(|sample| holds(sample.at)).collect();
-        for (node, entry) in self.report.plan.entries.iter().enumerate() {
+        for (node, entry) in self.0.report.plan.entries.iter().enumerate() {
             let entry = entry.to_string();
             let total = |sample: &sample::Sample| sample.by_entry.get(&entry).copied();
             let total = |sample| total(sample).unwrap_or_default();
@@ -216,7 +184,7 @@
             let Some(stated) = samples.iter().find(|sample| total(sample) > first) else {
                 continue;
             };
-            let mut outages = self.history.outages.iter();
+            let mut outages = self.0.history.outages.iter();
             if outages.any(|(restarted, at)| *restarted == node && *at > statement.from) {
                 continue;
             }
@@ -239,14 +207,19 @@
 #[test]
 fn guarantees_hold_under_random_faults() {
     for seed in seeds::chosen(&DEFAULT_SEEDS) {
-        let run = runtime::run(run(seed)).unwrap();
+        let soak = runtime::run(soak(seed)).unwrap();
 
-        let violations = run.violations();
+        let violations = soak.violations();
 
-        let served = run.report.requests().filter(|one| one.is_served()).count();
-        let total = run.report.requests().count();
+        let served = soak
+            .0
+            .report
+            .requests()
+            .filter(|one| one.is_served())
+            .count();
+        let total = soak.0.report.requests().count();
         println!("seed {seed}: {served} of {total} requests served");
-        let steps = run.history.steps.join("\n");
+        let steps = soak.0.history.steps.join("\n");
         assert!(
             violations.is_empty(),
             "seed {seed}: {violations:#?}\n{steps}"
--- a/crates/testsuite/tests/soak_quarantine.rs
+++ b/crates/testsuite/tests/soak_quarantine.rs
@@ -4,14 +4,12 @@
 
 use std::time::Duration;
 
-use futures::future;
 use masticarch_kernel::runtime;
 use masticarch_load::fleet::{self, objects};
-use masticarch_load::generator::{self, plan, record, team};
-use masticarch_load::standin;
+use masticarch_load::generator::{self, plan, record};
 use masticarch_model::code;
 use masticarch_testsuite::setup;
-use masticarch_testsuite::soak::{history, injector, mode, seeds};
+use masticarch_testsuite::soak::{injector, mode, run, seeds};
 
 /// Seeds that run without a choice.
 const DEFAULT_SEEDS: [u64; 3] = [0, 1, 2];
@@ -28,11 +26,8 @@
 /// Further runs for each outage of a node that knew the request.
 const CRASHING_RUNS_PER_OUTAGE: u64 = 3;
 
-struct Run {
-    report: generator::Report,
-    history: history::History,
-    executions: Vec<standin::record::Executions>,
-}
+/// A run with the checks of this soak.
+struct Soak(run::Run);
 
 /// Two entry nodes without a target, three targets of `scripts`, which a crashing request
 /// crashes, and two of `orders`, whose requests run once at most.
@@ -67,68 +62,48 @@
             factor: 1.0,
         }])
         .teams(vec![
-            load("/scripts/crash", 5.0, true, &key),
-            load("/scripts/popular", 30.0, true, &key),
-            load("/scripts/other", 30.0, false, &key),
-            load("/orders/1", 30.0, false, &key),
+            copies("/scripts/crash", 5.0, &key),
+            copies("/scripts/popular", 30.0, &key),
+            run::load("/scripts/other", 30.0, &key),
+            run::load("/orders/1", 30.0, &key),
         ])
         .build();
     (fleet, plan)
 }
 
-fn load(path: &str, rate: f64, copies: bool, key: &str) -> generator::Team {
-    let resend = team::Resend {
-        attempts: 2,
-        backoff_ms: 100,
-        elsewhere: true,
-    };
-    let mut load = generator::Team::builder()
-        .name(path)
-        .path(path)
-        .rate(rate)
-        .copies(copies)
-        .resend(resend)
-        .build();
-    load.key = Some(key.to_owned());
+/// Copies of one request per second.
+fn copies(path: &str, rate: f64, key: &str) -> generator::Team {
+    let mut load = run::load(path, rate, key);
+    load.copies = true;
     load
 }
 
-async fn run(seed: u64) -> Run {
-    let (mut fleet, plan) = fixture(seed).await;
+async fn soak(seed: u64) -> Soak {
+    let (fleet, plan) = fixture(seed).await;
     let injector = injector::Injector::new(seed, mode::Mode::Crashes);
-    let faults = injector.run(&mut fleet, FAULT_TIME);
-    let (report, history) = future::join(generator::run(plan), faults).await;
-    let mut executions = Vec::new();
-    for target in fleet.nodes.iter().filter_map(|node| node.target.as_ref()) {
-        executions.push(target.executions().await.unwrap());
-    }
-    Run {
-        report: report.unwrap(),
-        history,
-        executions,
-    }
+    Soak(run::Run::collect(fleet, plan, injector, FAULT_TIME).await)
 }
 
-impl Run {
+impl Soak {
     /// Crashes that were not injected.
-    fn crashing_crashes(&self) -> u64 {
-        let crashes = self.executions.iter();
+    fn uninjected_crashes(&self) -> u64 {
+        let crashes = self.0.executions.iter();
         let crashes: u64 = crashes.map(|executions| executions.crashes).sum();
-        crashes.saturating_sub(self.history.crashes)
+        crashes.saturating_sub(self.0.history.crashes)
     }
 
     /// What breaks a guarantee, one line each.
     fn violations(&self) -> Vec<String> {
         let mut found = Vec::new();
-        let outages = self.history.outages.iter();
+        let outages = self.0.history.outages.iter();
         let outages = outages.filter(|(node, _)| SCRIPTS_NODES.contains(node));
         let outages = u64::try_from(outages.count()).unwrap();
         let allowed = MAX_CRASHING_RUNS + CRASHING_RUNS_PER_OUTAGE * outages;
-        let crashes = self.crashing_crashes();
+        let crashes = self.uninjected_crashes();
         if crashes > allowed {
             found.push(format!("crashing: {crashes} crashes, allowed {allowed}"));
         }
-        for record in &self.report.records {
+        for record in &self.0.report.records {
             let quarantined = code_of(record) == Some(code::Code::Quarantined.number());
             if quarantined && record.id.team != CRASHING {
                 found.push(format!("harmless: {record:?}"));
@@ -153,19 +128,23 @@
 #[test]
 fn crashing_requests_are_contained_under_random_faults() {
     for seed in seeds::chosen(&DEFAULT_SEEDS) {
-        let run = runtime::run(run(seed)).unwrap();
+        let soak = runtime::run(soak(seed)).unwrap();
 
-        let violations = run.violations();
+        let violations = soak.violations();
 
-        let harmless = run.report.requests().filter(|one| one.id.team != CRASHING);
+        let harmless = soak
+            .0
+            .report
+            .requests()
+            .filter(|one| one.id.team != CRASHING);
         let (mut served, mut total) = (0, 0);
         for request in harmless {
             total += 1;
             served += u32::from(request.is_served());
         }
-        let crashes = run.crashing_crashes();
+        let crashes = soak.uninjected_crashes();
         println!("seed {seed}: {crashes} crashes, {served} of {total} harmless requests served");
-        let steps = run.history.steps.join("\n");
+        let steps = soak.0.history.steps.join("\n");
         assert!(
             violations.is_empty(),
             "seed {seed}: {violations:#?}\n{steps}"
