--- a/crates/policy/src/quarantine/table.rs
+++ b/crates/policy/src/quarantine/table.rs
@@ -6,7 +6,7 @@
 
 use super::{crash, decision, evidence, fingerprint, record, suspect};
 
-/// Most records in a table; a record takes less than 2 KB.
+/// Most records in a table; a record takes less than 3 KB.
 const MAX_RECORDS: usize = 4096;
 /// Records that are dropped at a time when the table is full.
 const EVICTED_RECORDS: usize = 512;
