--- a/crates/node/src/protocol/mod.rs
+++ b/crates/node/src/protocol/mod.rs
@@ -36,8 +36,9 @@
     /// Sets the headers by which the target is told of the delivery.
     fn set_target_headers(request: &mut request::Request, delivery: &delivery::Delivery<'_>);
 
-    /// Classifies the answer of a target to a request.
-    fn classify(request: &request::Request, answer: &answer::Answer) -> class::Class;
+    /// Classifies the answer of a target to a request. `reused` says that the connection
+    /// has carried other requests, whose answers the target may send once more.
+    fn classify(request: &request::Request, answer: &answer::Answer, reused: bool) -> class::Class;
 
     /// Reads what a target states about itself in its answer.
     fn notice(answer: &answer::Answer) -> notice::Notice;
--- a/crates/node/src/protocol/native.rs
+++ b/crates/node/src/protocol/native.rs
@@ -52,7 +52,7 @@
         }
     }
 
-    fn classify(request: &request::Request, answer: &answer::Answer) -> class::Class {
+    fn classify(request: &request::Request, answer: &answer::Answer, _: bool) -> class::Class {
         let echoed = answer.headers.get(names::CONTEXT);
         if echoed.is_some() && echoed != request.headers.get(names::CONTEXT) {
             class::Class::Mismatched
--- a/crates/node/src/target/run.rs
+++ b/crates/node/src/target/run.rs
@@ -76,7 +76,9 @@
 ) -> Result<answer::Answer, refusal::Refusal> {
     let address = permit.address;
     let mut slot = checkout(services, address).await?;
-    let mut connection = match slot.connection.take() {
+    let kept = slot.connection.take();
+    let reused = kept.is_some();
+    let mut connection = match kept {
         Some(connection) => connection,
         // Boxed, because the future that opens a connection is large and rarely needed.
         None => match Box::pin(open(address)).await {
@@ -110,10 +112,9 @@
         }
     };
     let job = &watch.job;
-    let mut class = P::classify(&job.request, &answer);
+    let mut class = P::classify(&job.request, &answer, reused);
     if class == class::Class::Mismatched {
-        answer = matching_answer::<P>(services, &mut connection, job).await?;
-        class = P::classify(&job.request, &answer);
+        (answer, class) = matching_answer::<P>(services, &mut connection, job).await?;
     }
     if class != class::Class::Mismatched {
         record_notice(
@@ -173,14 +174,15 @@
     services: &services::Services,
     connection: &mut pool::Connection,
     job: &job::Job,
-) -> Result<answer::Answer, refusal::Refusal> {
+) -> Result<(answer::Answer, class::Class), refusal::Refusal> {
     let limits = services.answer_limits();
     for _ in 0..MAX_MISMATCHED_ANSWERS {
         let read = connection.receive_answer(&job.request.method, &limits);
         let mut answer = read.await.map_err(|_| mismatched())?;
-        if P::classify(&job.request, &answer) != class::Class::Mismatched {
+        let class = P::classify(&job.request, &answer, true);
+        if class != class::Class::Mismatched {
             answer.keep_alive = false;
-            return Ok(answer);
+            return Ok((answer, class));
         }
     }
     Err(mismatched())
