Never try a target again that has refused the request

A request that a target refused could reach the same target a second time, when no untried target was usable: its id is the same, and so a target that repeats its refusal of the first attempt on the kept connection would be believed, although the second attempt runs.

Once a target itself has refused a request, only targets that were not tried are chosen, as was so for refusals by the node beside it. Before: target_that_refused_a_request_is_not_tried_again gets the refusing target as its third attempt; after: none.

--- a/crates/node/src/gate/dispatcher.rs
+++ b/crates/node/src/gate/dispatcher.rs
@@ -89,6 +89,7 @@
             idempotent: pending.idempotent,
             max_attempts: pending.max_attempts,
             arrivals: 0,
+            refused_by_target: false,
             balance,
             tried: vec![endpoint],
             outstanding: true,
@@ -202,7 +203,9 @@
         let (upstream, rank) = (running.upstream, running.rank);
         let tried = running.tried.clone();
         let overloaded = classify::failure(report) == Some(code::Code::Overloaded);
-        let endpoint = if self.options.decisions && overloaded {
+        // A target may repeat its refusal of an earlier attempt, which has the same id.
+        let untried_only = overloaded || running.refused_by_target;
+        let endpoint = if self.options.decisions && untried_only {
             self.choose_untried(upstream, &tried, rank, now)?
         } else {
             self.choose(upstream, &tried, rank, now)?
--- a/crates/node/src/gate/running.rs
+++ b/crates/node/src/gate/running.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use masticarch_model::ran;
+use masticarch_model::{code, ran};
 use masticarch_policy::credit::{allowance, balance, outcome};
 
 use crate::gate::{balancer, choice, classify, endpoint, report};
@@ -18,6 +18,8 @@
     pub max_attempts: Option<u8>,
     /// Attempts that have reached a target.
     pub arrivals: u8,
+    /// Whether a target has refused an attempt.
+    pub refused_by_target: bool,
     /// Retry credit of the request.
     pub balance: balance::Balance,
     /// Targets of the attempts so far; the last one is the current one.
@@ -47,6 +49,7 @@
         self.arrivals = self
             .arrivals
             .saturating_add(u8::from(classify::has_arrived(report)));
+        self.refused_by_target |= report.failure == Some(code::Code::TargetRefused);
         self.close_attempt(report.credit, classify::executions(report))
     }
 
--- a/crates/node/tests/gate.rs
+++ b/crates/node/tests/gate.rs
@@ -33,6 +33,14 @@
     }
 }
 
+/// The report on an attempt that the target itself has refused.
+fn refused_by_target(choice: &choice::Choice) -> report::Report {
+    report::Report {
+        failure: Some(code::Code::TargetRefused),
+        ..refused(choice)
+    }
+}
+
 // Guards against requests that run for a team without a valid key of that team.
 #[test]
 fn keys_are_checked_on_routes_with_teams() {
@@ -208,6 +216,23 @@
     assert!(next.is_none(), "{next:?}");
 }
 
+// Guards against a request that reaches the same target twice: the target may repeat its
+// refusal of the first attempt, which names the id of the second one as well.
+#[test]
+fn target_that_refused_a_request_is_not_tried_again() {
+    let next = fixture::with_gate(true, &fixture::view(1, 2), |gate| async move {
+        let admission = gate.begin(fixture::request("/open", None)).await.unwrap();
+        let first = admission.choice.clone();
+        let second = gate.next(&admission, refused_by_target(&first)).await;
+        let second = second.unwrap();
+        let third = gate.next(&admission, refused_by_target(&second)).await;
+        (first.node, second.node, third)
+    });
+
+    assert_ne!(next.0, next.1);
+    assert!(next.2.is_none(), "{next:?}");
+}
+
 // Guards against a new directory that resets the state of targets, so that ejected ones
 // get requests again after every change of configuration.
 #[test]
