Accept an idle timeout that no clock can represent

Found while looking for the neighbours of odd entries with numbers too large: a target's 'keep-alive: timeout=' overflowed the clock, and the panic closed the caller's connection without an answer. Such a connection is now kept without an end. Before: the test gets no answer; after: 200.

--- a/crates/node/src/target/run.rs
+++ b/crates/node/src/target/run.rs
@@ -129,10 +129,8 @@
     }
     if answer.keep_alive {
         slot.connection = Some(connection);
-        slot.expires = fields::idle_timeout(&answer.headers).map(|timeout| {
-            let usable_for = timeout.saturating_sub(IDLE_MARGIN);
-            Instant::now() + usable_for
-        });
+        slot.expires = fields::idle_timeout(&answer.headers)
+            .and_then(|timeout| Instant::now().checked_add(timeout.saturating_sub(IDLE_MARGIN)));
         let checkin = message::Message::Checkin(address, slot);
         let _ = services.target.send(checkin).await;
     }
--- a/crates/node/tests/path.rs
+++ b/crates/node/tests/path.rs
@@ -108,6 +108,21 @@
     );
 }
 
+// Guards against a panic on an idle timeout that no clock can represent.
+#[test]
+fn answer_with_an_endless_idle_timeout_is_passed_on() {
+    let answer = "HTTP/1.1 200 OK\r\nkeep-alive: timeout=18446744073709551615\r\n\
+        content-length: 5\r\n\r\nhello";
+    let (node, _) = fleet::node_with_target(target::answering(answer));
+    let request = client::get("/guiones", "");
+
+    let answers = [(); 2].map(|()| client::exchange(node.caller, &request));
+
+    for answer in answers {
+        assert!(answer.starts_with("HTTP/1.1 200 OK\r\n"), "{answer}");
+    }
+}
+
 // Guards against bytes after an answer that are taken for the next answer.
 #[test]
 fn connection_with_trailing_bytes_is_not_used_again() {
