--- a/crates/node/tests/path.rs
+++ b/crates/node/tests/path.rs
@@ -76,6 +76,8 @@
 #[case::truncated("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nabc", 1107, "unknown")]
 #[case::oversized("HTTP/1.1 200 OK\r\ncontent-length: 2000\r\n\r\n", 1108, "yes")]
 #[case::no_http("garbage\r\n\r\n", 1109, "unknown")]
+#[case::cut_in_its_head("HTTP/1.1 200 OK\r\ncontent-length: 5\r\nx-a", 1109, "unknown")]
+#[case::cut_after_a_header("HTTP/1.1 200 OK\r\nx-a: b\r\n", 1109, "unknown")]
 fn bad_answer_is_refused(
     #[case] answer: &'static str,
     #[case] code: u16,
