Refuse announcements of instances that start in the future

Report of another operator: another writer left one odd entry among those of the instances, and the machines that read the list ended or stopped following it. One case stopped a node from following its instance: a start far in the future (born) made all heartbeats of the real run outdated, until the entry expired; meanwhile requests named the wrong run.

--- a/crates/node/src/admin/handler.rs
+++ b/crates/node/src/admin/handler.rs
@@ -1,6 +1,7 @@
 //! Answers requests on the admin port.
 
 use std::rc::Rc;
+use std::time::SystemTime;
 
 use http::{HeaderValue, Method, StatusCode, header};
 use masticarch_model::{code, name};
@@ -83,11 +84,14 @@
         let message = match request.method {
             Method::DELETE => target::Message::Withdraw(service, None),
             Method::PUT => match serde_json::from_slice(&request.body) {
-                Ok(body) if announcement::Announcement::is_valid(&body) => {
+                Ok(body) if announcement::Announcement::is_valid(&body, SystemTime::now()) => {
                     target::Message::Announce(service, body)
                 }
                 Ok(_) => {
-                    return refused(code::Code::OutOfRange, "slots and connections start at 1");
+                    return refused(
+                        code::Code::OutOfRange,
+                        "slots and connections start at 1, and no instance starts in the future",
+                    );
                 }
                 Err(error) => return refused(code::Code::BadRequest, &error.to_string()),
             },
--- a/crates/node/src/target/announcement.rs
+++ b/crates/node/src/target/announcement.rs
@@ -1,6 +1,7 @@
 //! Announcement of a target, sent to the admin port of the node beside it.
 
 use std::net::SocketAddr;
+use std::time::SystemTime;
 
 use masticarch_model::{name, target};
 use serde::{Deserialize, Serialize};
@@ -25,10 +26,13 @@
 }
 
 impl Announcement {
-    /// Whether slots and connections allow any request to run.
+    /// Whether slots and connections allow any request to run, and the instance can have
+    /// started by `now`.
     #[must_use]
-    pub const fn is_valid(&self) -> bool {
-        self.slots > 0 && self.connections > 0
+    pub fn is_valid(&self, now: SystemTime) -> bool {
+        let instance = self.instance.as_ref();
+        let has_started = instance.is_none_or(|instance| instance.may_have_started(now));
+        self.slots > 0 && self.connections > 0 && has_started
     }
 
     /// Whether both announce the same state of the same run. Their sequence numbers are
--- a/crates/node/src/target/instance.rs
+++ b/crates/node/src/target/instance.rs
@@ -1,7 +1,13 @@
 //! Instances of a target, as they are announced.
 
+use std::time::{Duration, SystemTime};
+
 use serde::{Deserialize, Serialize};
 
+/// Difference between the clocks of a target and its node from which on an announcement is
+/// refused.
+const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_hours(24);
+
 /// One run of a target process, and the sequence number of this announcement of it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -21,6 +27,16 @@
         format!("{}-{}", self.started_ms, self.id).into()
     }
 
+    /// Whether the run can have started by `now`, if the clocks of target and node differ by
+    /// less than [`MAX_CLOCK_DIFFERENCE`]. Any later start would make all announcements of
+    /// other runs outdated.
+    #[must_use]
+    pub fn may_have_started(&self, now: SystemTime) -> bool {
+        let started = SystemTime::UNIX_EPOCH.checked_add(Duration::from_millis(self.started_ms));
+        let latest = now.checked_add(MAX_CLOCK_DIFFERENCE);
+        started.is_some_and(|started| latest.is_none_or(|latest| started < latest))
+    }
+
     /// Whether both announcements are of the same run.
     #[must_use]
     pub fn is_same_run(&self, other: &Self) -> bool {
