Estimate service times by route

With one mean over all requests of a target, a target that answers requests of 1,060 ms and calls of 65 ms refused calls whose deadline was 700 ms as 'too late', and each such refusal failed the run above it.

The deadline check uses that of the request, the queue is bounded by the work in it, and the concurrency limiter gets latencies that a changed mix does not change. - At the entry node, a target's latency is a ratio to that of its service for the same route, which returns to 1 without samples, and is part of its cost. - A request that is too late for one target, and did not run, goes to another one within its attempts, credit and deadline.

Ruled out: no deadline check at all (trial in the issue; work then begins that cannot end in time).

--- a/crates/node/examples/quarantine.rs
+++ b/crates/node/examples/quarantine.rs
@@ -27,6 +27,7 @@
     request.headers.insert(header::HOST, host);
     job::Job {
         entry: entry::Entry {
+            route: "r".into(),
             service: "guiones".into(),
             root: format!("{index:032x}").into(),
             team: Some("arica".into()),
--- a/crates/node/src/admission/call.rs
+++ b/crates/node/src/admission/call.rs
@@ -4,6 +4,7 @@
 
 use futures::channel::oneshot;
 use masticarch_kernel::stop;
+use masticarch_model::name;
 use masticarch_policy::credit::account;
 
 use crate::admission::{context, entry, key, local};
@@ -56,6 +57,11 @@
         now.saturating_duration_since(self.entry.deadline) > ABANDONED_AFTER
     }
 
+    /// Route of the request.
+    pub fn route(&self) -> &name::Name {
+        &self.entry.route
+    }
+
     /// Retry credit that came with the request.
     pub fn credit(&self) -> u8 {
         self.entry.credit
--- a/crates/node/src/admission/entry.rs
+++ b/crates/node/src/admission/entry.rs
@@ -10,6 +10,8 @@
 pub struct Entry {
     /// Service of the target.
     pub service: name::Name,
+    /// Route of the request, by which its service time is estimated.
+    pub route: name::Name,
     /// Id of the root request.
     pub root: Box<str>,
     /// Team of the root request; absent on routes open to all.
--- a/crates/node/src/admission/local.rs
+++ b/crates/node/src/admission/local.rs
@@ -3,12 +3,13 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use masticarch_model::target;
+use masticarch_model::{name, target};
 use masticarch_policy::credit::outcome;
+use masticarch_policy::estimate::table;
 use masticarch_policy::limit::{Limiter, rate, sample};
+use masticarch_policy::queue;
 use masticarch_policy::queue::{bounded, bounds, dequeued, descriptor, push};
 use masticarch_policy::shed::level;
-use masticarch_policy::{ewma, queue};
 use slotmap::new_key_type;
 
 use crate::admission::{message, summary, waiter};
@@ -19,7 +20,7 @@
     pub struct Key;
 }
 
-/// Smallest bound on queue entries, for targets with a concurrency limit near 1.
+/// Requests that may wait whatever their work, for targets with a concurrency limit near 1.
 const MIN_QUEUE_ENTRIES: u32 = 32;
 /// Largest bound on queue entries; it bounds memory when the estimates are wrong.
 const MAX_QUEUE_ENTRIES: u32 = 10_000;
@@ -37,7 +38,8 @@
     queue: bounded::Queue<waiter::Waiter>,
     queue_limit: Duration,
     level: level::Level,
-    service_time: ewma::Ewma,
+    /// Service times by route.
+    service_times: table::Table<name::Name>,
     in_flight: u32,
     notice: notice::Notice,
     /// Whether the target has answered a request since it was announced.
@@ -61,7 +63,7 @@
             queue: bounded::Queue::default(),
             queue_limit,
             level: level::Level::new(queue_limit, now),
-            service_time: ewma::Ewma::default(),
+            service_times: table::Table::default(),
             in_flight: 0,
             notice: notice::Notice::default(),
             answered: false,
@@ -83,6 +85,7 @@
             team: waiter.entry.team.clone(),
             weight: waiter.entry.weight,
             deadline: waiter.entry.deadline,
+            service_time: self.expected_time(&waiter.entry.route),
         };
         self.level.record_offer(descriptor.rank);
         let pushed = self.queue.push(&descriptor, waiter, &self.bounds(), now);
@@ -116,12 +119,14 @@
         None
     }
 
-    /// Records the end of a request that [`Self::pop`] returned.
-    pub fn record_end(&mut self, end: message::End, now: Instant) {
+    /// Records the end of a request on `route` that [`Self::pop`] returned.
+    pub fn record_end(&mut self, end: message::End, route: &name::Name, now: Instant) {
+        // The limiter compares mean latencies, which a changed mix of routes must not change.
+        let normalise = |time| self.service_times.normalise(route, time, now);
         let sample = match end {
-            message::End::Answered(time) => Some(sample::Sample::Complete(time)),
+            message::End::Answered(time) => Some(sample::Sample::Complete(normalise(time))),
             message::End::Failed(time) | message::End::Cancelled(time) => {
-                Some(sample::Sample::AtLeast(time))
+                Some(sample::Sample::AtLeast(normalise(time)))
             }
             message::End::NotRun => {
                 self.rate.put_back();
@@ -132,7 +137,7 @@
             self.limiter.completed(sample, self.in_flight, now);
         }
         if let message::End::Answered(time) = end {
-            self.service_time.add(time);
+            self.service_times.add(route, time, now);
         }
         self.in_flight = self.in_flight.saturating_sub(1);
     }
@@ -181,7 +186,7 @@
             credit: outcome.credit,
             executions: outcome.executions,
             overload: self.level.current(now),
-            limit: self.limit(),
+            limit: self.limit(now),
             in_flight: self.in_flight(now),
             rate_limit: self.rate.per_second(),
         }
@@ -189,9 +194,9 @@
 
     /// The concurrency limit, or the concurrency to which the rate limit leads if that is
     /// lower.
-    fn limit(&self) -> u32 {
+    fn limit(&self, now: Instant) -> u32 {
         let limit = self.limiter.current();
-        let by_rate = self.rate.requests_in(self.service_time.mean());
+        let by_rate = self.rate.requests_in(self.service_times.mean(now));
         by_rate.map_or(limit, |by_rate| by_rate.min(limit))
     }
 
@@ -201,35 +206,33 @@
         if self.rate.is_ready(now) {
             self.in_flight
         } else {
-            self.in_flight.max(self.limit())
+            self.in_flight.max(self.limit(now))
         }
     }
 
-    fn bounds(&self) -> bounds::Bounds {
-        // The estimate is not used while nothing is in flight: if it were too high, all
-        // requests would be refused and no answer would ever correct it.
-        let service_time = if self.in_flight == 0 {
-            Duration::ZERO
-        } else {
-            self.service_time.mean()
-        };
-        bounds::Bounds {
-            max_wait: self.queue_limit,
-            service_time,
-            max_entries: self.capacity() as usize,
+    /// Expected service time of a request on `route`. It is zero while nothing is in flight:
+    /// if the estimate were too high, all requests would be refused and no answer would ever
+    /// correct it.
+    fn expected_time(&self, route: &name::Name) -> Duration {
+        if self.in_flight == 0 {
+            return Duration::ZERO;
         }
+        self.service_times.service_time(route).unwrap_or_default()
     }
 
-    /// Bound on queue entries: twice the number of requests that can leave the queue
-    /// within the longest wait, and no more than the rate limit lets pass in that time.
-    fn capacity(&self) -> u32 {
-        let service = self.service_time.mean().as_micros().max(1);
-        let limit = u128::from(self.limiter.current());
-        let served = limit.saturating_mul(2 * self.queue_limit.as_micros()) / service;
-        let capacity = u32::try_from(served)
-            .unwrap_or(MAX_QUEUE_ENTRIES)
-            .clamp(MIN_QUEUE_ENTRIES, MAX_QUEUE_ENTRIES);
+    /// The queue takes twice the work that can leave it within the longest wait, and no
+    /// more requests than the rate limit lets pass in that time.
+    fn bounds(&self) -> bounds::Bounds {
         let by_rate = self.rate.requests_in(self.queue_limit);
-        by_rate.map_or(capacity, |by_rate| by_rate.min(capacity))
+        let max_entries =
+            by_rate.map_or(MAX_QUEUE_ENTRIES, |by_rate| by_rate.min(MAX_QUEUE_ENTRIES));
+        bounds::Bounds {
+            max_wait: self.queue_limit,
+            max_work: self
+                .queue_limit
+                .saturating_mul(self.limiter.current().saturating_mul(2)),
+            min_entries: MIN_QUEUE_ENTRIES as usize,
+            max_entries: max_entries as usize,
+        }
     }
 }
--- a/crates/node/src/admission/state.rs
+++ b/crates/node/src/admission/state.rs
@@ -171,7 +171,7 @@
 
     fn start(&mut self, local: local::Key, waiter: waiter::Waiter, now: Instant) {
         let Some(random) = self.source.draw() else {
-            self.targets[local].record_end(message::End::NotRun, now);
+            self.targets[local].record_end(message::End::NotRun, &waiter.entry.route, now);
             let code = code::Code::BufferFull;
             return self.deny(local, &waiter.entry, waiter.reply, code, now);
         };
@@ -233,7 +233,7 @@
     fn end(&mut self, key: key::CallKey, end: message::End, now: Instant) -> Option<call::Call> {
         let call = self.calls.remove(key)?;
         if let Some(local) = self.targets.get_mut(call.local) {
-            local.record_end(end, now);
+            local.record_end(end, call.route(), now);
         }
         Some(call)
     }
--- a/crates/node/src/caller/attempt.rs
+++ b/crates/node/src/caller/attempt.rs
@@ -28,6 +28,7 @@
     let job = job::Job {
         entry: entry::Entry {
             service: admission.service.clone(),
+            route: admission.route.clone(),
             root: admission.root.clone(),
             team: admission.team.clone(),
             weight: admission.weight,
--- a/crates/node/src/gate/balancer.rs
+++ b/crates/node/src/gate/balancer.rs
@@ -1,6 +1,6 @@
 //! Load balancing over the targets of the fleet, as the entry node knows them.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use fastrand::Rng;
 use masticarch_model::{directory, incarnation, map, name, place, target};
@@ -8,7 +8,7 @@
 use masticarch_policy::{outlier, retry_budget};
 use slotmap::{SecondaryMap, SlotMap, new_key_type};
 
-use crate::gate::{classify, endpoint, report, statements, upstream};
+use crate::gate::{classify, endpoint, report, statements, upstream, work};
 
 new_key_type! {
     /// Key of a service, kept over changes of the directory.
@@ -64,7 +64,7 @@
 
     /// Installs a new directory. Targets and services that it still contains keep what
     /// is known of them.
-    pub fn install(&mut self, directory: &directory::Directory) {
+    pub fn install(&mut self, directory: &directory::Directory, now: Instant) {
         self.keys_by_service.clear();
         let nodes = u32::try_from(directory.nodes.len()).unwrap_or(u32::MAX);
         let budget = self
@@ -82,7 +82,7 @@
         }
         let mut identities = map::Map::default();
         for (key, target) in &directory.targets {
-            let (identity, endpoint) = self.install_target(directory, key, target);
+            let (identity, endpoint) = self.install_target(directory, key, target, now);
             identities.insert(identity, endpoint);
         }
         self.identities = identities;
@@ -102,17 +102,21 @@
     /// Chooses a usable target that is not among `tried`.
     pub fn choose(
         &self,
-        upstream: UpstreamKey,
+        work: &work::Work,
         tried: &[endpoint::EndpointKey],
-        rank: u8,
         rng: &mut Rng,
         now: Instant,
     ) -> Option<endpoint::EndpointKey> {
+        let upstream = self.upstreams.get(work.upstream)?;
+        let expected = upstream.expected_latency(&work.route);
         let usable = |key: endpoint::EndpointKey| {
             !tried.contains(&key) && self.endpoints[key].is_usable(now)
         };
-        let load = |key: endpoint::EndpointKey| self.endpoints[key].load(rank, now);
-        self.upstreams.get(upstream)?.pool.choose(rng, usable, load)
+        let load = |key: endpoint::EndpointKey| {
+            let endpoint = &self.endpoints[key];
+            endpoint.load(work.rank, expected, now)
+        };
+        upstream.pool.choose(rng, usable, load)
     }
 
     /// Forgets statements that no target has repeated for a long time.
@@ -186,24 +190,28 @@
     /// unless half of the service's targets are ejected already.
     pub fn record_end(
         &mut self,
-        upstream: UpstreamKey,
+        work: &work::Work,
         key: endpoint::EndpointKey,
-        rank: u8,
         report: &report::Report,
         now: Instant,
     ) {
-        if classify::executions(report) != Some(0)
-            && let Some(upstream) = self.upstreams.get_mut(upstream)
-        {
-            upstream.record_accepted(rank, now);
+        let mut expected = Duration::ZERO;
+        if let Some(upstream) = self.upstreams.get_mut(work.upstream) {
+            if classify::executions(report) != Some(0) {
+                upstream.record_accepted(work.rank, now);
+            }
+            if classify::failure(report).is_none() {
+                upstream.record_latency(&work.route, report.latency, now);
+            }
+            expected = upstream.expected_latency(&work.route);
         }
         let Some(endpoint) = self.endpoints.get_mut(key) else {
             return;
         };
         self.statements.record(endpoint, report, now);
-        if endpoint.record_end(report, now)
+        if endpoint.record_end(report, expected, now)
             && self.ejection_enabled
-            && self.may_eject(upstream, now)
+            && self.may_eject(work.upstream, now)
         {
             self.endpoints[key].detector.eject(now);
         }
@@ -226,6 +234,7 @@
         directory: &directory::Directory,
         key: directory::TargetKey,
         target: &directory::Target,
+        now: Instant,
     ) -> (Identity, endpoint::EndpointKey) {
         let node = &directory.nodes[target.node];
         let identity = Identity {
@@ -236,7 +245,7 @@
         let locality = locality::Locality::between(&self.place, &node.place);
         let known = self.identities.get(&identity).copied();
         let known = known.unwrap_or_else(|| {
-            let endpoint = endpoint::Endpoint::new(key, &target.record, node, locality);
+            let endpoint = endpoint::Endpoint::new(key, &target.record, node, locality, now);
             self.endpoints.insert(endpoint)
         });
         let endpoint = &mut self.endpoints[known];
--- a/crates/node/src/gate/classify.rs
+++ b/crates/node/src/gate/classify.rs
@@ -32,6 +32,7 @@
     let refused = matches!(
         code,
         code::Code::Overloaded
+            | code::Code::DeadlineExceeded
             | code::Code::Draining
             | code::Code::NoTarget
             | code::Code::BufferFull
--- a/crates/node/src/gate/dispatcher.rs
+++ b/crates/node/src/gate/dispatcher.rs
@@ -11,7 +11,7 @@
 use slotmap::SlotMap;
 
 use crate::gate::{
-    admission, balancer, choice, classify, endpoint, key, message, pending, report, running,
+    admission, balancer, choice, classify, endpoint, key, message, pending, report, running, work,
 };
 use crate::{metrics, options};
 
@@ -58,8 +58,8 @@
     }
 
     /// Installs a new directory.
-    pub fn install(&mut self, directory: &directory::Directory) {
-        self.balancer.install(directory);
+    pub fn install(&mut self, directory: &directory::Directory, now: Instant) {
+        self.balancer.install(directory, now);
     }
 
     /// Key of the targets of a service of the directory.
@@ -76,15 +76,19 @@
             let code = code::Code::Overloaded;
             return Err(Refused { pending, code });
         }
-        let Some(endpoint) = self.choose(pending.upstream, &[], pending.context.rank, now) else {
+        let work = work::Work {
+            upstream: pending.upstream,
+            rank: pending.context.rank,
+            route: pending.route.clone(),
+        };
+        let Some(endpoint) = self.choose(&work, &[], now) else {
             let code = code::Code::NoTarget;
             return Err(Refused { pending, code });
         };
         let mut balance = balance::Balance::new(pending.context.allowance);
         let choice = self.choice(endpoint, &mut balance, pending.context.deadline, now);
         let request = self.running.insert(running::Running {
-            upstream: pending.upstream,
-            rank: pending.context.rank,
+            work,
             deadline: pending.context.deadline,
             idempotent: pending.idempotent,
             max_attempts: pending.max_attempts,
@@ -124,26 +128,23 @@
     /// A usable target that was not tried, or else any usable one.
     fn choose(
         &mut self,
-        upstream: balancer::UpstreamKey,
+        work: &work::Work,
         tried: &[endpoint::EndpointKey],
-        rank: u8,
         now: Instant,
     ) -> Option<endpoint::EndpointKey> {
-        let untried = self.choose_untried(upstream, tried, rank, now);
-        untried.or_else(|| self.choose_untried(upstream, &[], rank, now))
+        let untried = self.choose_untried(work, tried, now);
+        untried.or_else(|| self.choose_untried(work, &[], now))
     }
 
     /// A usable target that was not tried. A target that has just refused a request
     /// for lack of capacity would refuse it again, and refusing costs capacity.
     fn choose_untried(
         &mut self,
-        upstream: balancer::UpstreamKey,
+        work: &work::Work,
         tried: &[endpoint::EndpointKey],
-        rank: u8,
         now: Instant,
     ) -> Option<endpoint::EndpointKey> {
-        self.balancer
-            .choose(upstream, tried, rank, &mut self.rng, now)
+        self.balancer.choose(work, tried, &mut self.rng, now)
     }
 
     fn choice(
@@ -200,17 +201,20 @@
         if now >= running.deadline || !self.may_retry(running, report, now) {
             return None;
         }
-        let (upstream, rank) = (running.upstream, running.rank);
+        let work = running.work.clone();
         let tried = running.tried.clone();
-        let overloaded = classify::failure(report) == Some(code::Code::Overloaded);
+        let has_no_capacity = matches!(
+            classify::failure(report),
+            Some(code::Code::Overloaded | code::Code::DeadlineExceeded)
+        );
         // A target may repeat its refusal of an earlier attempt, which has the same id.
-        let untried_only = overloaded || running.refused_by_target;
+        let untried_only = has_no_capacity || running.refused_by_target;
         let endpoint = if self.options.decisions && untried_only {
-            self.choose_untried(upstream, &tried, rank, now)?
+            self.choose_untried(&work, &tried, now)?
         } else {
-            self.choose(upstream, &tried, rank, now)?
+            self.choose(&work, &tried, now)?
         };
-        if classify::has_arrived(report) && !self.balancer.try_withdraw_retry(upstream) {
+        if classify::has_arrived(report) && !self.balancer.try_withdraw_retry(work.upstream) {
             return None;
         }
         let running = self.running.get_mut(key)?;
@@ -233,7 +237,9 @@
         }
         // While every target sheds the rank, another attempt only adds load.
         let shed = classify::failure(report) == Some(code::Code::Overloaded)
-            && self.balancer.all_shed(running.upstream, running.rank, now);
+            && self
+                .balancer
+                .all_shed(running.work.upstream, running.work.rank, now);
         running.may_retry(report) && !shed
     }
 
@@ -244,9 +250,8 @@
             return;
         };
         if let Some(endpoint) = running.report(report) {
-            let (upstream, rank) = (running.upstream, running.rank);
-            self.balancer
-                .record_end(upstream, endpoint, rank, report, now);
+            let work = running.work.clone();
+            self.balancer.record_end(&work, endpoint, report, now);
         }
     }
 
--- a/crates/node/src/gate/endpoint.rs
+++ b/crates/node/src/gate/endpoint.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use masticarch_model::{code, directory, incarnation, name, node, target};
-use masticarch_policy::ewma;
+use masticarch_policy::estimate::slowness;
 use masticarch_policy::outlier::detector;
 use masticarch_policy::route::{load, locality};
 use masticarch_policy::shed::level;
@@ -50,7 +50,7 @@
     pub detector: detector::Detector,
     limit: u32,
     reported_in_flight: u32,
-    latency: ewma::Ewma,
+    slowness: slowness::Slowness,
     admitted_rank: u8,
     reported_at: Option<Instant>,
     leaving_until: Option<Instant>,
@@ -63,6 +63,7 @@
         record: &target::Target,
         node: &node::Node,
         locality: locality::Locality,
+        now: Instant,
     ) -> Self {
         Self {
             target,
@@ -76,7 +77,7 @@
             detector: detector::Detector::default(),
             limit: record.slots,
             reported_in_flight: 0,
-            latency: ewma::Ewma::default(),
+            slowness: slowness::Slowness::new(now),
             admitted_rank: level::ALL,
             reported_at: None,
             leaving_until: None,
@@ -94,8 +95,9 @@
         rank > self.admitted_rank && self.is_fresh(now)
     }
 
-    /// Load of the target for a request of this rank.
-    pub fn load(&self, rank: u8, now: Instant) -> load::Load {
+    /// Load of the target for a request of this rank. `expected` is the mean latency of such
+    /// requests over all targets.
+    pub fn load(&self, rank: u8, expected: Duration, now: Instant) -> load::Load {
         let reported = if self.is_fresh(now) {
             self.reported_in_flight
         } else {
@@ -105,13 +107,19 @@
             locality: self.locality,
             in_flight: self.in_flight.max(reported),
             limit: self.limit,
-            latency: self.latency.mean(),
+            latency: self.slowness.apply(expected, now),
             shedding: self.sheds(rank, now),
         }
     }
 
-    /// Records the end of an attempt; returns whether the target should be ejected.
-    pub fn record_end(&mut self, report: &report::Report, now: Instant) -> bool {
+    /// Records the end of an attempt, where `expected` is the mean latency of such requests
+    /// over all targets; returns whether the target should be ejected.
+    pub fn record_end(
+        &mut self,
+        report: &report::Report,
+        expected: Duration,
+        now: Instant,
+    ) -> bool {
         self.in_flight = self.in_flight.saturating_sub(1);
         self.update_load(report, now);
         if report.leaving.is_some() || report.failure == Some(code::Code::Draining) {
@@ -119,7 +127,7 @@
         }
         match classify::failure(report) {
             None => {
-                self.latency.add(report.latency);
+                self.slowness.record(report.latency, expected, now);
                 self.detector.record_success(now);
                 false
             }
--- a/crates/node/src/gate/mod.rs
+++ b/crates/node/src/gate/mod.rs
@@ -26,3 +26,4 @@
 mod team;
 mod teams;
 mod upstream;
+mod work;
--- a/crates/node/src/gate/running.rs
+++ b/crates/node/src/gate/running.rs
@@ -5,13 +5,12 @@
 use masticarch_model::{code, ran};
 use masticarch_policy::credit::{allowance, balance, outcome};
 
-use crate::gate::{balancer, choice, classify, endpoint, report};
+use crate::gate::{choice, classify, endpoint, report, work};
 
 /// A request in flight at its entry node: its attempts so far and its retry credit.
 #[derive(Debug)]
 pub struct Running {
-    pub upstream: balancer::UpstreamKey,
-    pub rank: u8,
+    pub work: work::Work,
     pub deadline: Instant,
     pub idempotent: bool,
     /// Most targets to which the request is sent.
--- a/crates/node/src/gate/state.rs
+++ b/crates/node/src/gate/state.rs
@@ -286,7 +286,7 @@
         if directory.version < self.directory.version {
             return;
         }
-        self.dispatcher.install(&directory);
+        self.dispatcher.install(&directory, now);
         self.splits.install(&directory);
         for pending in self.teams.install(&directory, now) {
             denial::send(pending.reply, code::Code::WrongTeam);
--- a/crates/node/src/gate/upstream.rs
+++ b/crates/node/src/gate/upstream.rs
@@ -1,7 +1,9 @@
 //! A service as an upstream: its targets and how much they accept.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use masticarch_model::name;
+use masticarch_policy::estimate::table;
 use masticarch_policy::retry_budget;
 use masticarch_policy::route::pool;
 use masticarch_policy::shed::throttle;
@@ -17,6 +19,8 @@
     pub retry_budget: Option<retry_budget::Budget>,
     /// Early shedding, indexed by rank.
     throttles: Vec<throttle::Throttle>,
+    /// Latencies by route, over all targets.
+    latencies: table::Table<name::Name>,
 }
 
 impl Upstream {
@@ -26,6 +30,16 @@
         self.throttle(rank).passes(shed, chance, now)
     }
 
+    /// Mean latency of requests on `route`; zero before the first.
+    pub fn expected_latency(&self, route: &name::Name) -> Duration {
+        self.latencies.service_time(route).unwrap_or_default()
+    }
+
+    /// Records the latency of a request on `route`.
+    pub fn record_latency(&mut self, route: &name::Name, latency: Duration, now: Instant) {
+        self.latencies.add(route, latency, now);
+    }
+
     /// Records that a target accepted a request of this rank.
     pub fn record_accepted(&mut self, rank: u8, now: Instant) {
         self.throttle(rank).record_accept(now);
--- a/crates/node/src/peer/exchange.rs
+++ b/crates/node/src/peer/exchange.rs
@@ -39,7 +39,7 @@
     admission: &admission::Admission,
     mut job: job::Job,
 ) -> job::Outcome {
-    headers::write_entry(&mut job.request, &job.entry, &admission.route);
+    headers::write_entry(&mut job.request, &job.entry);
     let limits = services.answer_limits();
     // Another attempt may follow an idempotent one at once. Any other one ends with the
     // connection only, because it may still run and be answered.
--- a/crates/node/src/peer/headers.rs
+++ b/crates/node/src/peer/headers.rs
@@ -13,10 +13,10 @@
 use crate::target::job;
 
 /// Adds the entry for admission at the target's node to a request.
-pub fn write_entry(request: &mut request::Request, entry: &entry::Entry, route: &name::Name) {
+pub fn write_entry(request: &mut request::Request, entry: &entry::Entry) {
     let headers = &mut request.headers;
     fields::set(headers, names::SERVICE, &entry.service);
-    fields::set(headers, names::ROUTE, route);
+    fields::set(headers, names::ROUTE, &entry.route);
     fields::set(headers, names::REQUEST_ID, &entry.root);
     fields::set_number(headers, names::WEIGHT, entry.weight);
     fields::set_number(headers, names::PRIORITY, entry.rank);
@@ -41,6 +41,7 @@
     let remaining = Duration::from_millis(remaining);
     Some(entry::Entry {
         service: fields::text(headers, names::SERVICE)?.into(),
+        route: fields::text(headers, names::ROUTE)?.into(),
         root: fields::text(headers, names::REQUEST_ID)?.into(),
         team: fields::text(headers, names::TEAM).map(name::Name::new),
         weight: fields::number(headers, names::WEIGHT)?,
--- a/crates/node/tests/admission.rs
+++ b/crates/node/tests/admission.rs
@@ -145,3 +145,24 @@
 
     assert_eq!(running, 500);
 }
+
+// Guards against short requests that are refused as too late, because long ones run at the
+// same target.
+#[test]
+fn long_requests_do_not_make_short_ones_too_late() {
+    let long = message::End::Answered(Duration::from_secs(1));
+    let short = message::End::Answered(Duration::from_millis(65));
+
+    let permit = fixture::with_admission(true, |admission| async move {
+        for (route, end) in [("short", short), ("long", long), ("long", long)] {
+            let permit = admission.acquire(fixture::entry_of(route, 5000)).await;
+            admission.release(&permit.unwrap(), end).await;
+        }
+        let running = admission.acquire(fixture::entry_of("long", 5000)).await;
+        let permit = admission.acquire(fixture::entry_of("short", 700)).await;
+        drop(running);
+        permit
+    });
+
+    assert!(permit.is_ok(), "{permit:?}");
+}
--- a/crates/node/tests/fingerprint.rs
+++ b/crates/node/tests/fingerprint.rs
@@ -17,6 +17,7 @@
     request.headers.insert(header::HOST, host);
     job::Job {
         entry: entry::Entry {
+            route: "r".into(),
             service: "guiones".into(),
             root: "request-1".into(),
             team: Some("arica".into()),
--- a/crates/node/tests/gate.rs
+++ b/crates/node/tests/gate.rs
@@ -216,6 +216,24 @@
     assert!(next.is_none(), "{next:?}");
 }
 
+// Guards against a request that fails because one target is too slow for it, although
+// another one is not.
+#[test]
+fn request_that_is_too_late_for_one_target_goes_to_another() {
+    let (first, second) = fixture::with_gate(true, &fixture::view(1, 2), |gate| async move {
+        let admission = gate.begin(fixture::request("/open", None)).await.unwrap();
+        let first = admission.choice.clone();
+        let report = report::Report {
+            failure: Some(code::Code::DeadlineExceeded),
+            ..refused(&first)
+        };
+        (first, gate.next(&admission, report).await)
+    });
+
+    let second = second.expect("another target is tried");
+    assert_ne!(first.node, second.node);
+}
+
 // Guards against a request that reaches the same target twice: the target may repeat its
 // refusal of the first attempt, which names the id of the second one as well.
 #[test]
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod convert;
 pub mod credit;
+pub mod estimate;
 pub mod ewma;
 pub mod freshness;
 pub mod ledger;
--- a/crates/policy/src/queue/bounded.rs
+++ b/crates/policy/src/queue/bounded.rs
@@ -1,7 +1,7 @@
 //! Admission queue of one target.
 
 use std::collections::BTreeSet;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use slotmap::SlotMap;
 
@@ -15,6 +15,8 @@
     entries: SlotMap<entry::EntryKey, entry::Entry<T>>,
     ranks: Vec<fair::Queue>,
     expiries: BTreeSet<(Instant, entry::EntryKey)>,
+    /// Sum of the expected service times of the entries.
+    work: Duration,
 }
 
 impl<T> Default for Queue<T> {
@@ -23,6 +25,7 @@
             entries: SlotMap::with_key(),
             ranks: Vec::new(),
             expiries: BTreeSet::new(),
+            work: Duration::ZERO,
         }
     }
 }
@@ -36,17 +39,17 @@
         bounds: &bounds::Bounds,
         now: Instant,
     ) -> push::Outcome<T> {
-        let latest_start = descriptor.deadline.checked_sub(bounds.service_time);
+        let latest_start = descriptor.deadline.checked_sub(descriptor.service_time);
         let Some(latest_start) = latest_start.filter(|latest| *latest > now) else {
             return push::Outcome::TooLate(item);
         };
-        let displaced = if self.entries.len() < bounds.max_entries {
-            None
-        } else {
+        let displaced = if bounds.is_full(self.entries.len(), self.work) {
             match self.displacement_candidate(descriptor) {
                 Some(key) => self.remove(key),
                 None => return push::Outcome::Full(item),
             }
+        } else {
+            None
         };
         self.insert(
             descriptor,
@@ -132,7 +135,9 @@
             flow,
             queued: now,
             expires,
+            service_time: descriptor.service_time,
         });
+        self.work += descriptor.service_time;
         self.expiries.insert((expires, key));
         self.rank(descriptor.rank).push(flow, key);
     }
@@ -140,6 +145,7 @@
     fn remove(&mut self, key: entry::EntryKey) -> Option<entry::Entry<T>> {
         let entry = self.entries.remove(key)?;
         self.expiries.remove(&(entry.expires, key));
+        self.work = self.work.saturating_sub(entry.service_time);
         let entries = &self.entries;
         self.ranks[usize::from(entry.rank)].remove(entry.flow, |key| entries.contains_key(key));
         Some(entry)
--- a/crates/policy/src/queue/bounds.rs
+++ b/crates/policy/src/queue/bounds.rs
@@ -7,8 +7,20 @@
 pub struct Bounds {
     /// Longest time that a request may wait.
     pub max_wait: Duration,
-    /// Expected time from the start of a request at the target to its end.
-    pub service_time: Duration,
+    /// Sum of the expected service times of the waiting requests from which on the queue is
+    /// full.
+    pub max_work: Duration,
+    /// Number of requests that may wait whatever their service times are.
+    pub min_entries: usize,
     /// Maximum number of waiting requests.
     pub max_entries: usize,
 }
+
+impl Bounds {
+    /// Whether a queue with this many requests and this work takes no more.
+    #[must_use]
+    pub fn is_full(&self, entries: usize, work: Duration) -> bool {
+        let has_work = entries >= self.min_entries && work >= self.max_work;
+        entries >= self.max_entries || has_work
+    }
+}
--- a/crates/policy/src/queue/descriptor.rs
+++ b/crates/policy/src/queue/descriptor.rs
@@ -1,6 +1,6 @@
 //! Attributes of a request by which the queue orders it.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use masticarch_model::name;
 
@@ -15,4 +15,7 @@
     pub weight: u16,
     /// Time by which the request must have ended.
     pub deadline: Instant,
+    /// Expected time from the start of the request at the target to its end; zero if it is
+    /// not known.
+    pub service_time: Duration,
 }
--- a/crates/policy/src/queue/entry.rs
+++ b/crates/policy/src/queue/entry.rs
@@ -1,6 +1,6 @@
 //! A waiting request in the admission queue.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use slotmap::new_key_type;
 
@@ -19,4 +19,5 @@
     pub flow: flow::FlowKey,
     pub queued: Instant,
     pub expires: Instant,
+    pub service_time: Duration,
 }
--- a/crates/policy/src/route/load.rs
+++ b/crates/policy/src/route/load.rs
@@ -17,7 +17,7 @@
     pub in_flight: u32,
     /// Latest known concurrency limit of the target.
     pub limit: u32,
-    /// Mean latency of successful requests.
+    /// Expected latency of the request once it runs.
     pub latency: Duration,
     /// Whether the target sheds the request's priority.
     pub shedding: bool,
@@ -34,7 +34,7 @@
         full || self.shedding
     }
 
-    /// Network latency plus estimated wait, plus a penalty if the target sheds.
+    /// Network latency plus expected latency and wait, plus a penalty if the target sheds.
     #[must_use]
     pub fn cost(&self) -> Duration {
         let wait = self.latency.saturating_mul(self.in_flight) / self.limit.max(1);
@@ -43,6 +43,6 @@
         } else {
             Duration::ZERO
         };
-        self.locality.latency() + wait + penalty
+        self.locality.latency() + self.latency + wait + penalty
     }
 }
--- a/crates/policy/tests/overload.rs
+++ b/crates/policy/tests/overload.rs
@@ -134,17 +134,19 @@
     }
 
     fn enter(&mut self, request: Request) {
+        let idle = self.in_flight() == 0;
+        let service = self.service.mean();
         let descriptor = descriptor::Descriptor {
             rank: request.rank,
             team: None,
             weight: 1,
             deadline: request.arrives + TIMEOUT,
+            service_time: if idle { Duration::ZERO } else { service },
         };
-        let idle = self.in_flight() == 0;
-        let service = self.service.mean();
         let bounds = bounds::Bounds {
             max_wait: Duration::from_millis(100),
-            service_time: if idle { Duration::ZERO } else { service },
+            max_work: Duration::MAX,
+            min_entries: 0,
             max_entries: 200,
         };
         match self.queue.push(&descriptor, request, &bounds, self.now) {
--- a/crates/policy/tests/queue.rs
+++ b/crates/policy/tests/queue.rs
@@ -7,11 +7,13 @@
 use masticarch_policy::queue::{bounded, bounds, descriptor, push};
 
 const MAX_WAIT: Duration = Duration::from_millis(100);
+const SERVICE_TIME: Duration = Duration::from_millis(20);
 
 fn bounds(max_entries: usize) -> bounds::Bounds {
     bounds::Bounds {
         max_wait: MAX_WAIT,
-        service_time: Duration::from_millis(20),
+        max_work: Duration::MAX,
+        min_entries: 0,
         max_entries,
     }
 }
@@ -22,6 +24,7 @@
         team: Some(name::Name::new(team)),
         weight,
         deadline: now + Duration::from_secs(2),
+        service_time: SERVICE_TIME,
     }
 }
 
@@ -182,3 +185,30 @@
         assert!(left.iter().all(|count| *count == 1), "seed {seed}");
     }
 }
+
+// Guards against a queue that is bounded by the number of requests, although they are of
+// very different lengths.
+#[test]
+fn queue_is_bounded_by_the_work_in_it() {
+    let now = Instant::now();
+    let long = Duration::from_secs(1);
+    let bounds = bounds::Bounds {
+        max_wait: MAX_WAIT,
+        max_work: 4 * long,
+        min_entries: 2,
+        max_entries: 1000,
+    };
+    let accepted = |service_time| {
+        let mut queue = bounded::Queue::default();
+        let descriptor = descriptor::Descriptor {
+            service_time,
+            ..descriptor(0, "a", 1, now)
+        };
+        let outcomes = (0..100).map(|item| queue.push(&descriptor, item, &bounds, now));
+        let queued = outcomes.filter(|outcome| matches!(outcome, push::Outcome::Queued));
+        queued.count()
+    };
+
+    assert_eq!(accepted(long), 4);
+    assert_eq!(accepted(SERVICE_TIME), 100);
+}
