Wait longer for tokens while the control leader is silent

Teams whose requests enter at many nodes hold no shares there and draw each token from the leader, so that 403 of 748 requests sent from 2 s to 4 s were refused after 200 ms, as over the rate, though nobody had said so.

A request now waits up to 1.5 s (unanswered_rate_wait_ms), and at most half of its remaining time, as long as no report on it has been answered. A leader that does not grant yet no longer answers for empty shares. Tokens still come from the owner only.

Failing before: request_waits_longer_while_the_owner_is_silent.

--- a/crates/daemon/src/settings/node.rs
+++ b/crates/daemon/src/settings/node.rs
@@ -12,7 +12,8 @@
 
 /// Largest value of `queue_limit_ms`, the longest time in the admission queue.
 const MAX_QUEUE_LIMIT_MS: u64 = 10_000;
-/// Largest value of `rate_wait_ms`, the longest wait for tokens of a team's rate.
+/// Largest value of `rate_wait_ms` and `unanswered_rate_wait_ms`, the longest waits for
+/// tokens of a team's rate.
 const MAX_RATE_WAIT_MS: u64 = 5_000;
 /// Largest value of `drain_limit_ms`, the longest drain.
 const MAX_DRAIN_LIMIT_MS: u64 = 3_600_000;
@@ -38,6 +39,7 @@
     buffer_bytes: Option<u64>,
     queue_limit_ms: Option<u64>,
     rate_wait_ms: Option<u64>,
+    unanswered_rate_wait_ms: Option<u64>,
     drain_limit_ms: Option<u64>,
     decisions: Option<bool>,
 }
@@ -55,6 +57,12 @@
                 MAX_QUEUE_LIMIT_MS,
             ),
             rate_wait_ms: document.number("rate_wait_ms", "milliseconds", 0, MAX_RATE_WAIT_MS),
+            unanswered_rate_wait_ms: document.number(
+                "unanswered_rate_wait_ms",
+                "milliseconds",
+                0,
+                MAX_RATE_WAIT_MS,
+            ),
             drain_limit_ms: document.number(
                 "drain_limit_ms",
                 "milliseconds",
@@ -113,6 +121,7 @@
             .maybe_buffer_bytes(to_usize(tuning.buffer_bytes))
             .maybe_queue_limit(tuning.queue_limit_ms.map(Duration::from_millis))
             .maybe_rate_wait(tuning.rate_wait_ms.map(Duration::from_millis))
+            .maybe_unanswered_rate_wait(tuning.unanswered_rate_wait_ms.map(Duration::from_millis))
             .maybe_drain_limit(tuning.drain_limit_ms.map(Duration::from_millis))
             .maybe_decisions(tuning.decisions)
             .build();
--- a/crates/node/src/gate/state.rs
+++ b/crates/node/src/gate/state.rs
@@ -7,7 +7,7 @@
 use masticarch_model::{code, directory};
 use masticarch_policy::credit::allowance;
 use masticarch_policy::freshness;
-use masticarch_policy::share::decision;
+use masticarch_policy::share::{decision, holder};
 
 use crate::gate::{
     authorization, context, denial, dispatcher, lease_report, message, pending, request, splits,
@@ -225,8 +225,13 @@
     }
 
     fn apply_rate(&mut self, team: directory::TeamKey, pending: pending::Pending, now: Instant) {
-        let until = pending.context.deadline.min(now + self.options.rate_wait);
-        let (decision, urgent) = self.teams.request(team, pending, until, now);
+        let left = pending.context.deadline.saturating_duration_since(now);
+        let unanswered = self.options.unanswered_rate_wait.min(left / 2);
+        let patience = holder::Patience {
+            until: now + self.options.rate_wait.min(left),
+            unanswered: now + unanswered,
+        };
+        let (decision, urgent) = self.teams.request(team, pending, patience, now);
         if let Some(at) = urgent {
             self.lease_report.bring_forward(at);
         }
--- a/crates/node/src/gate/teams.rs
+++ b/crates/node/src/gate/teams.rs
@@ -43,20 +43,20 @@
         gone.into_iter().flat_map(|key| self.remove(key)).collect()
     }
 
-    /// Decides on a request that may wait until `until`. Returns the decision, and the
-    /// time from which an early report on the team is due, if one is.
+    /// Decides on a request that may wait for a token. Returns the decision, and the time
+    /// from which an early report on the team is due, if one is.
     pub fn request(
         &mut self,
         team: directory::TeamKey,
         pending: pending::Pending,
-        until: Instant,
+        patience: holder::Patience,
         now: Instant,
     ) -> (decision::Decision<pending::Pending>, Option<Instant>) {
         let Some(key) = self.local_keys.get(team).copied() else {
             return (decision::Decision::Refuse(pending), None);
         };
         let holder = &mut self.entries[key].holder;
-        let decision = holder.request(pending, until, now);
+        let decision = holder.request(pending, patience, now);
         let urgent = holder.urgent_from(now);
         if matches!(decision, decision::Decision::Wait) {
             self.schedule(key);
--- a/crates/node/src/options.rs
+++ b/crates/node/src/options.rs
@@ -48,6 +48,9 @@
     /// Longest wait for tokens of a team's rate.
     #[builder(default = Duration::from_millis(200))]
     pub rate_wait: Duration,
+    /// Longest wait for tokens of a team's rate while the control leader does not answer.
+    #[builder(default = Duration::from_millis(1500))]
+    pub unanswered_rate_wait: Duration,
     /// Longest wait for the first configuration after a start.
     #[builder(default = Duration::from_millis(1200))]
     pub start_wait: Duration,
--- a/crates/policy/src/share/holder.rs
+++ b/crates/policy/src/share/holder.rs
@@ -28,11 +28,33 @@
 /// while a team sends several times its rate.
 const MAX_WAITING: usize = 1024;
 
+/// How long a request may wait for a token.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// Until when it waits if the owner has answered a report on it.
+    pub until: Instant,
+    /// Until when it waits if the owner does not answer: without an answer nothing says that
+    /// the team is over its rate.
+    pub unanswered: Instant,
+}
+
+impl Patience {
+    /// A wait until the same moment in both cases.
+    #[must_use]
+    pub const fn until(until: Instant) -> Self {
+        Self {
+            until,
+            unanswered: until,
+        }
+    }
+}
+
 /// A request that waits for a token.
 #[derive(Debug)]
 struct Waiter<T> {
     item: T,
-    until: Instant,
+    since: Instant,
+    patience: Patience,
 }
 
 /// When the latest report was made, and with which demand.
@@ -53,6 +75,8 @@
     drawn: f64,
     demand: demand::Demand,
     reported: Option<Reported>,
+    /// When the latest report was sent that the owner has answered.
+    answered: Option<Instant>,
     waiting: VecDeque<Waiter<T>>,
 }
 
@@ -67,21 +91,26 @@
             drawn: 0.0,
             demand: demand::Demand::new(now),
             reported: None,
+            answered: None,
             waiting: VecDeque::new(),
         }
     }
 
-    /// Decides on a new request, which may wait for a token until `until`.
-    pub fn request(&mut self, item: T, until: Instant, now: Instant) -> decision::Decision<T> {
+    /// Decides on a new request, which may wait for a token.
+    pub fn request(&mut self, item: T, patience: Patience, now: Instant) -> decision::Decision<T> {
         self.advance(now);
         self.demand.add(now);
         if self.waiting.is_empty() && self.bucket.take() {
             return decision::Decision::Pass(item);
         }
-        if until <= now || self.waiting.len() >= MAX_WAITING {
+        if patience.until <= now || self.waiting.len() >= MAX_WAITING {
             return decision::Decision::Refuse(item);
         }
-        self.waiting.push_back(Waiter { item, until });
+        self.waiting.push_back(Waiter {
+            item,
+            since: now,
+            patience,
+        });
         decision::Decision::Wait
     }
 
@@ -92,12 +121,15 @@
         let Some(waiter) = self.waiting.pop_front() else {
             return decision::Decision::Wait;
         };
-        if waiter.until <= now {
+        if waiter.patience.unanswered.max(waiter.patience.until) <= now {
             return decision::Decision::Refuse(waiter.item);
         }
         if self.bucket.take() || self.take_drawn() {
             return decision::Decision::Pass(waiter.item);
         }
+        if self.end_of_wait(&waiter) <= now {
+            return decision::Decision::Refuse(waiter.item);
+        }
         self.waiting.push_front(waiter);
         decision::Decision::Wait
     }
@@ -114,7 +146,7 @@
     /// Time at which [`Self::next`] may return a request; `None` when none waits.
     #[must_use]
     pub fn next_wake(&self) -> Option<Instant> {
-        let until = self.waiting.front()?.until;
+        let until = self.end_of_wait(self.waiting.front()?);
         if self.drawn >= 1.0 {
             return Some(self.bucket.advanced_to());
         }
@@ -132,6 +164,7 @@
     /// once; tokens that exceed its burst are released with the next report.
     pub fn grant(&mut self, share: Share, tokens: f64, sent: Instant, now: Instant) {
         self.advance(now);
+        self.answered = self.answered.max(Some(sent));
         let expires = sent + LEASE_DURATION;
         if expires <= now {
             return;
@@ -245,10 +278,20 @@
         let mut waiters = ends.into_iter().flatten().zip(needs);
         waiters.any(|(waiter, need)| {
             let token = self.bucket.nth_token(need);
-            token.is_none_or(|token| token > waiter.until)
+            token.is_none_or(|token| token > waiter.patience.until)
         })
     }
 
+    /// Until when a request waits, as far as is known now.
+    fn end_of_wait(&self, waiter: &Waiter<T>) -> Instant {
+        let patience = waiter.patience;
+        if self.answered.is_some_and(|sent| sent >= waiter.since) {
+            patience.until
+        } else {
+            patience.unanswered.max(patience.until)
+        }
+    }
+
     /// Number of waiting requests.
     fn waiting_count(&self) -> f64 {
         f64::from(u32::try_from(self.waiting.len()).unwrap_or(u32::MAX))
--- a/crates/policy/src/share/owner.rs
+++ b/crates/policy/src/share/owner.rs
@@ -175,7 +175,8 @@
     }
 
     /// Answers a holder's reports with one grant for each, or with none if the
-    /// holder was released. Every holder that was known when the request was sent
+    /// holder was released. While nothing new is granted, reports of empty shares get no
+    /// grant: an empty one would say that the team's rate is used up. Every holder that was known when the request was sent
     /// must have been passed to [`Self::awaiting`] or [`Self::joined`] before.
     /// `None` when the holder has opened a later connection since.
     pub fn renew(&mut self, now: Instant, request: &lease::Request) -> Option<Vec<lease::Grant>> {
@@ -190,9 +191,11 @@
         }
         self.ended(request.node);
         self.grant_early(now);
+        let is_waiting = self.is_waiting(now);
         let grants = request
             .reports
             .iter()
+            .filter(|report| !is_waiting || !report.held.is_empty())
             .map(|report| self.grant(now, request.node, report));
         Some(grants.collect())
     }
--- a/crates/policy/tests/holder.rs
+++ b/crates/policy/tests/holder.rs
@@ -101,7 +101,7 @@
                 }
             }
             for node in &mut nodes {
-                let decision = node.request(0, now, now);
+                let decision = node.request(0, holder::Patience::until(now), now);
                 if matches!(decision, decision::Decision::Pass(_)) {
                     level += 1.0;
                 }
@@ -119,8 +119,16 @@
     let arrived = sent + Duration::from_secs(1);
     holder.grant(share(100.0, 10.0), 10.0, sent, arrived);
 
-    let before = holder.request(1, sent, sent + Duration::from_millis(2849));
-    let after = holder.request(2, sent, sent + holder::LEASE_DURATION);
+    let before = holder.request(
+        1,
+        holder::Patience::until(sent),
+        sent + Duration::from_millis(2849),
+    );
+    let after = holder.request(
+        2,
+        holder::Patience::until(sent),
+        sent + holder::LEASE_DURATION,
+    );
 
     assert_eq!(before, decision::Decision::Pass(1));
     assert_eq!(after, decision::Decision::Refuse(2));
@@ -135,7 +143,10 @@
 
     holder.grant(share(100.0, 10.0), 10.0, sent, now);
 
-    assert_eq!(holder.request(1, now, now), decision::Decision::Refuse(1));
+    assert_eq!(
+        holder.request(1, holder::Patience::until(now), now),
+        decision::Decision::Refuse(1)
+    );
 }
 
 // Guards against released tokens that the node keeps, or that the owner gets twice.
@@ -159,12 +170,16 @@
     let now = Instant::now();
     let mut holder = granted(100.0, 10.0, 1.0, now);
     let until = now + Duration::from_millis(200);
-    let decisions = [1, 2, 3].map(|item| holder.request(item, until, now));
+    let decisions = [1, 2, 3].map(|item| holder.request(item, holder::Patience::until(until), now));
 
     let early = holder.next(now + Duration::from_millis(9));
     let wake = holder.next_wake().unwrap();
     let second = holder.next(wake);
-    let newcomer = holder.request(4, until, now + Duration::from_millis(21));
+    let newcomer = holder.request(
+        4,
+        holder::Patience::until(until),
+        now + Duration::from_millis(21),
+    );
     let third = holder.next(now + Duration::from_millis(21));
 
     assert_eq!(decisions[0], decision::Decision::Pass(1));
@@ -180,7 +195,7 @@
     let now = Instant::now();
     let until = now + Duration::from_millis(200);
     let mut holder = holder::Holder::new(now);
-    holder.request(1, until, now);
+    holder.request(1, holder::Patience::until(until), now);
 
     let wake = holder.next_wake();
     let outcome = holder.next(until);
@@ -189,6 +204,35 @@
     assert_eq!(outcome, decision::Decision::Refuse(1));
 }
 
+// Guards against refusals while no owner answers, and against requests that wait longer once
+// it has answered that there are no tokens.
+#[test]
+fn request_waits_longer_while_the_owner_is_silent() {
+    let now = Instant::now();
+    let patience = holder::Patience {
+        until: now + Duration::from_millis(200),
+        unanswered: now + Duration::from_millis(1500),
+    };
+    let answered = now + Duration::from_millis(900);
+    let mut holder = holder::Holder::new(now);
+    for item in [1, 2] {
+        holder.request(item, patience, now);
+    }
+
+    let silent = holder.next(patience.until);
+    let wake = holder.next_wake();
+    holder.grant(share(0.0, 0.0), 0.0, answered, answered);
+    holder.draw(1.0, answered, answered);
+    let decisions = [(); 2].map(|()| holder.next(answered));
+
+    assert_eq!(silent, decision::Decision::Wait);
+    assert_eq!(wake, Some(patience.unanswered));
+    assert_eq!(
+        decisions,
+        [decision::Decision::Pass(1), decision::Decision::Refuse(2)]
+    );
+}
+
 // Guards against a new team that waits for the next regular report to get a share.
 #[test]
 fn first_request_is_reported_at_once() {
@@ -196,7 +240,7 @@
     let mut holder = holder::Holder::new(now);
     let before = holder.urgent_from(now);
 
-    holder.request(1, now, now);
+    holder.request(1, holder::Patience::until(now), now);
 
     assert_eq!(before, None);
     assert_eq!(holder.urgent_from(now), Some(now));
@@ -208,12 +252,12 @@
 fn changed_demand_is_reported_after_the_interval() {
     let now = Instant::now();
     let mut holder = granted(100.0, 100.0, 100.0, now);
-    holder.request(0, now, now);
+    holder.request(0, holder::Patience::until(now), now);
     holder.report(now);
     let steady = holder.urgent_from(now);
 
     for item in 0..10 {
-        holder.request(item, now, now);
+        holder.request(item, holder::Patience::until(now), now);
     }
 
     assert_eq!(steady, None);
@@ -229,7 +273,11 @@
     let mut holder = granted(0.0, 0.0, 0.0, now);
     holder.report(now);
 
-    holder.request(1, later + Duration::from_millis(200), later);
+    holder.request(
+        1,
+        holder::Patience::until(later + Duration::from_millis(200)),
+        later,
+    );
 
     assert!(holder.urgent_from(later).is_some_and(|at| at <= later));
 }
@@ -243,10 +291,10 @@
     let mut holder = granted(10.0, 10.0, 0.0, now);
     holder.report(now);
 
-    holder.request(1, until, now);
+    holder.request(1, holder::Patience::until(until), now);
     let supplied = holder.urgent_from(now);
-    holder.request(2, until, now);
-    holder.request(3, until, now);
+    holder.request(2, holder::Patience::until(until), now);
+    holder.request(3, holder::Patience::until(until), now);
 
     assert_eq!(supplied, None);
     assert_eq!(holder.urgent_from(now), Some(now));
@@ -262,7 +310,11 @@
     supplied.report(now);
     starved.report(now);
 
-    starved.request(1, soon + Duration::from_millis(100), soon);
+    starved.request(
+        1,
+        holder::Patience::until(soon + Duration::from_millis(100)),
+        soon,
+    );
 
     assert!(starved.is_due(soon));
     assert!(!supplied.is_due(soon));
@@ -297,13 +349,19 @@
 fn refunded_token_can_be_used_once_more() {
     let now = Instant::now();
     let mut holder = granted(1.0, 1.0, 1.0, now);
-    holder.request(1, now, now);
+    holder.request(1, holder::Patience::until(now), now);
 
     holder.refund(now);
     holder.refund(now);
 
-    assert_eq!(holder.request(2, now, now), decision::Decision::Pass(2));
-    assert_eq!(holder.request(3, now, now), decision::Decision::Refuse(3));
+    assert_eq!(
+        holder.request(2, holder::Patience::until(now), now),
+        decision::Decision::Pass(2)
+    );
+    assert_eq!(
+        holder.request(3, holder::Patience::until(now), now),
+        decision::Decision::Refuse(3)
+    );
 }
 
 // Guards against a wrong measurement of demand, by which the owner allocates the
@@ -314,7 +372,7 @@
     let mut holder = holder::Holder::new(now);
     for item in 0..1000 {
         now += Duration::from_millis(5);
-        holder.request(item, now, now);
+        holder.request(item, holder::Patience::until(now), now);
     }
 
     let demand = holder.report(now).demand_per_second;
@@ -336,7 +394,7 @@
     assert!(still_leased);
     assert!(!holder.is_leased(now));
     assert!(matches!(
-        holder.request(1, now, now),
+        holder.request(1, holder::Patience::until(now), now),
         decision::Decision::Refuse(_)
     ));
 }
