Draw no tokens twice for the same request

A report that was made between a grant and the next turn of the waiting requests asked for the drawn tokens once more; they came back unused a second later, and the team's pool lacked them meanwhile. Failing before: drawn_tokens_are_not_wanted_again.

--- a/crates/policy/src/share/holder.rs
+++ b/crates/policy/src/share/holder.rs
@@ -178,15 +178,16 @@
     /// the next report.
     pub fn draw(&mut self, tokens: f64, sent: Instant, now: Instant) {
         self.advance(now);
+        self.drawn = 0.0;
         let in_time = now < sent + lease::DRAW_DURATION;
         let needed = if in_time { self.missing_tokens() } else { 0.0 };
         self.drawn = tokens.min(needed);
         self.released += tokens - self.drawn;
     }
 
-    /// Tokens that the waiting requests need beyond those in the bucket.
+    /// Tokens that the waiting requests need beyond those in the bucket and the drawn ones.
     fn missing_tokens(&self) -> f64 {
-        (self.waiting_count() - self.bucket.tokens().floor()).max(0.0)
+        (self.waiting_count() - self.bucket.tokens().floor() - self.drawn).max(0.0)
     }
 
     fn take_drawn(&mut self) -> bool {
--- a/crates/policy/tests/holder.rs
+++ b/crates/policy/tests/holder.rs
@@ -233,6 +233,22 @@
     );
 }
 
+// Guards against drawn tokens that are drawn once more for the same requests.
+#[test]
+fn drawn_tokens_are_not_wanted_again() {
+    let now = Instant::now();
+    let mut holder = holder::Holder::new(now);
+    holder.request(
+        1,
+        holder::Patience::until(now + Duration::from_millis(200)),
+        now,
+    );
+
+    holder.draw(1.0, now, now);
+
+    assert!(holder.report(now).wanted.abs() < 1e-9);
+}
+
 // Guards against a new team that waits for the next regular report to get a share.
 #[test]
 fn first_request_is_reported_at_once() {
