Lease little to nodes that have just become active

A team whose requests enter at many nodes had its whole limit leased to the first few of them, for 3 s each: the first report of a node, with one request, got up to half of the team's burst. All other nodes refused requests within the rate.

A holder that has reported for less than 1.5 s gets at most 5% of what is free, or as much as it has shown beyond one request; its waiting requests draw tokens as before.

--- a/crates/policy/src/share/lease.rs
+++ b/crates/policy/src/share/lease.rs
@@ -63,6 +63,15 @@
         }
     }
 
+    /// This fraction of a share.
+    #[must_use]
+    pub const fn scaled(self, ratio: f64) -> Self {
+        Self {
+            rate: self.rate * ratio,
+            burst: self.burst * ratio,
+        }
+    }
+
     /// Whether both rate and burst are 0.
     #[must_use]
     pub const fn is_empty(self) -> bool {
--- a/crates/policy/src/share/quota.rs
+++ b/crates/policy/src/share/quota.rs
@@ -15,6 +15,12 @@
 /// Age up to which an allocation is used with more than [`MAX_EAGER_HOLDERS`] holders.
 const MAX_ALLOCATION_AGE: Duration = Duration::from_millis(100);
 
+/// Time after its first report for which a holder is new: its demand does not tell yet
+/// whether it will use a share.
+const NEW_HOLDER_TIME: Duration = Duration::from_millis(1500);
+/// Fraction of what is free that a new holder gets whatever its demand is.
+const NEW_HOLDER_RATIO: f64 = 0.05;
+
 /// Share that one holder may be using.
 #[derive(Clone, Copy, Debug)]
 struct Holding {
@@ -23,9 +29,16 @@
     /// limit.
     kept: lease::Share,
     demand: f64,
+    first_reported: Instant,
     expires: Instant,
 }
 
+impl Holding {
+    fn is_new(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.first_reported) < NEW_HOLDER_TIME
+    }
+}
+
 /// Grant in answer to one report.
 #[derive(Clone, Copy, Debug)]
 pub struct Grant {
@@ -145,7 +158,7 @@
         self.pool += finite_amount(report.released);
         self.trim_pool();
         self.update_allocation(now);
-        let share = self.share(node, held, demand, now < grants_from);
+        let share = self.share(now, node, held, demand, now < grants_from);
         self.count(now, node, held.max(share), demand);
         let tokens = self.take_tokens(held, share, demand);
         let wanted = finite_amount(report.wanted) - tokens;
@@ -177,6 +190,7 @@
     /// The new share of a holder that is counted with `held`.
     fn share(
         &self,
+        now: Instant,
         node: incarnation::Incarnation,
         held: lease::Share,
         demand: f64,
@@ -187,6 +201,9 @@
         free.burst = (free.burst - self.drawn).max(0.0);
         let holding = self.holdings.get(&node);
         let kept = holding.map(|holding| holding.kept).unwrap_or_default();
+        if holding.is_some_and(|holding| holding.is_new(now)) {
+            free = held.max(share_of_new_holder(free, demand)).min(free);
+        }
         let max_share = free.max(kept.min(held));
         let target = self.allocation.target(demand).min(max_share);
         if is_waiting {
@@ -215,6 +232,7 @@
                 counted,
                 kept,
                 demand,
+                first_reported: earlier.map_or(now, |holding| holding.first_reported),
                 expires: now + lease::OWNER_DURATION,
             };
             self.holdings.insert(node, holding);
@@ -287,6 +305,17 @@
     }
 }
 
+/// The largest share of a new holder. One request shows no demand that lasts: a team whose
+/// requests enter at many nodes would have its whole limit leased to the first few of them.
+fn share_of_new_holder(free: lease::Share, demand: f64) -> lease::Share {
+    let shown = (demand - 1.0).max(0.0);
+    let shown = lease::Share {
+        rate: shown,
+        burst: shown,
+    };
+    free.scaled(NEW_HOLDER_RATIO).max(shown)
+}
+
 /// The fraction of `sum` that is within `limit`.
 fn fitting_ratio(limit: f64, sum: f64) -> f64 {
     if sum > limit { limit / sum } else { 1.0 }
