Notice a failing target at the node beside it

At 95 nodes an entry node sends a target a request or two each second: five failures in a row, or ten requests within two seconds, are never seen by one of them, so that failing targets keep their share. Knowledge of entry nodes was weighed against it: told on each answer it reaches those that have just failed a request, and passed on between the nodes of a zone it is a message for each failure and node.

The node beside a target sees all its requests. A circuit breaker there opens after five failures in a row, or above a fifth of at least ten recent requests, or when the target has answered nothing for four times its slowest mean service time (1 s at least). Requests are then refused as not run (1022 target_ejected) and go to another target; they cost no arrival at a target, and one message in the zone. Once all known targets fail, a request insists on one of them: a fault of all is seldom their own. Afterwards three probes, one at a time, close the breaker.

An error of a target is no failure of it if one of its own calls failed meanwhile; the entry node is told so as well and no longer ejects the target for it. A target that fails for some callers only is left to their own detectors, as before.

Failing before: failing_target_is_noticed_by_its_own_node, failing_target_gets_only_requests_that_insist.

--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -54,6 +54,8 @@
     BufferFull,
     /// Targets have crashed again and again while they ran the request.
     Quarantined,
+    /// The target fails, and its node sends it nothing for a while.
+    TargetEjected,
     /// The request is not valid HTTP/1.1.
     BadRequest,
     /// The request head exceeds its limits.
@@ -152,6 +154,7 @@
         Self::AnswerNotKept,
         Self::BufferFull,
         Self::Quarantined,
+        Self::TargetEjected,
         Self::BadRequest,
         Self::HeadTooLarge,
         Self::BodyTooLarge,
@@ -203,6 +206,7 @@
             Self::AnswerNotKept => row(1019, "answer_not_kept", 409, ran::Ran::Yes),
             Self::BufferFull => row(1020, "buffer_full", 503, ran::Ran::No),
             Self::Quarantined => row(1021, "quarantined", 503, ran::Ran::No),
+            Self::TargetEjected => row(1022, "target_ejected", 503, ran::Ran::No),
             Self::BadRequest => row(1101, "bad_request", 400, ran::Ran::No),
             Self::HeadTooLarge => row(1102, "head_too_large", 431, ran::Ran::No),
             Self::BodyTooLarge => row(1103, "body_too_large", 413, ran::Ran::No),
--- a/crates/node/examples/quarantine.rs
+++ b/crates/node/examples/quarantine.rs
@@ -39,6 +39,7 @@
             caller: None,
             rate_limit: None,
             leaving: None,
+            insists: false,
         },
         request,
     }
--- a/crates/node/src/admission/entry.rs
+++ b/crates/node/src/admission/entry.rs
@@ -32,6 +32,8 @@
     pub rate_limit: Option<f64>,
     /// Run of the target that has stated that it is leaving, as far as is known.
     pub leaving: Option<Box<str>>,
+    /// Whether to send the request although the target fails, because no other is known.
+    pub insists: bool,
 }
 
 impl Entry {
--- a/crates/node/src/admission/local.rs
+++ b/crates/node/src/admission/local.rs
@@ -7,6 +7,7 @@
 use masticarch_policy::credit::outcome;
 use masticarch_policy::estimate::table;
 use masticarch_policy::limit::{Limiter, rate, sample};
+use masticarch_policy::outlier::breaker;
 use masticarch_policy::queue;
 use masticarch_policy::queue::{bounded, bounds, dequeued, descriptor, push};
 use masticarch_policy::shed::level;
@@ -24,6 +25,11 @@
 const MIN_QUEUE_ENTRIES: u32 = 32;
 /// Largest bound on queue entries; it bounds memory when the estimates are wrong.
 const MAX_QUEUE_ENTRIES: u32 = 10_000;
+/// Shortest time without any answer after which a target with requests in flight counts as
+/// failed.
+const MIN_SILENCE: Duration = Duration::from_secs(1);
+/// That time in mean service times of the slowest route.
+const SILENCE_FACTOR: u32 = 4;
 
 /// A target beside this node, with its concurrency limiter `L`, its rate limit, its queue
 /// and its level of load shedding.
@@ -44,6 +50,7 @@
     notice: notice::Notice,
     /// Whether the target has answered a request since it was announced.
     answered: bool,
+    breaker: breaker::Breaker,
 }
 
 impl<L: Limiter> Target<L> {
@@ -67,6 +74,7 @@
             in_flight: 0,
             notice: notice::Notice::default(),
             answered: false,
+            breaker: breaker::Breaker::new(now),
         }
     }
 
@@ -113,22 +121,59 @@
             }
             self.level.record_wait(waited, now);
             self.in_flight += 1;
+            self.breaker.record_start(now);
             self.rate.take(now);
             return Some(item);
         }
         None
     }
 
-    /// Records the end of a request on `route` that [`Self::pop`] returned.
-    pub fn record_end(&mut self, end: message::End, route: &name::Name, now: Instant) {
+    /// Whether the target may get a request, as far as its failures are concerned.
+    pub fn is_sound(&mut self, now: Instant) -> bool {
+        let longest = self.service_times.longest();
+        let patience = longest.saturating_mul(SILENCE_FACTOR).max(MIN_SILENCE);
+        let was_open = self.breaker.is_open();
+        let admits = self.breaker.admits(patience, now);
+        if !was_open && self.breaker.is_open() {
+            self.log_breaker("the target has not answered for some time");
+        }
+        admits
+    }
+
+    /// Records that a call of the target has failed.
+    pub fn record_failed_call(&mut self, now: Instant) {
+        self.breaker.record_failed_call(now);
+    }
+
+    fn log_breaker(&self, reason: &str) {
+        let service = &self.announced.service;
+        let is_open = self.breaker.is_open();
+        tracing::info!(%service, is_open, in_flight = self.in_flight, reason, "breaker of the target");
+    }
+
+    fn update_breaker(&mut self, end: message::End, now: Instant) -> bool {
+        let was_open = self.breaker.is_open();
+        let call_failed = self.breaker.record_end(end.outcome(), now);
+        if was_open != self.breaker.is_open() {
+            self.log_breaker("ends of requests");
+        }
+        call_failed
+    }
+
+    /// Records the end of a request on `route` that [`Self::pop`] returned. Returns whether
+    /// it was an error that is due to a failed call of the target.
+    pub fn record_end(&mut self, end: message::End, route: &name::Name, now: Instant) -> bool {
+        let call_failed = self.update_breaker(end, now);
         // The limiter compares mean latencies, which a changed mix of routes must not change.
         let normalise = |time| self.service_times.normalise(route, time, now);
         let sample = match end {
-            message::End::Answered(time) => Some(sample::Sample::Complete(normalise(time))),
-            message::End::Failed(time) | message::End::Cancelled(time) => {
-                Some(sample::Sample::AtLeast(normalise(time)))
+            message::End::Answered(time) | message::End::Errored(time) => {
+                Some(sample::Sample::Complete(normalise(time)))
             }
-            message::End::NotRun => {
+            message::End::Refused(time)
+            | message::End::Failed(time)
+            | message::End::Cancelled(time) => Some(sample::Sample::AtLeast(normalise(time))),
+            message::End::NotRun | message::End::Unreachable => {
                 self.rate.put_back();
                 None
             }
@@ -136,10 +181,11 @@
         if let Some(sample) = sample {
             self.limiter.completed(sample, self.in_flight, now);
         }
-        if let message::End::Answered(time) = end {
+        if let message::End::Answered(time) | message::End::Errored(time) = end {
             self.service_times.add(route, time, now);
         }
         self.in_flight = self.in_flight.saturating_sub(1);
+        call_failed
     }
 
     /// Records what the target states in the answer to a request that was sent at `sent`;
@@ -183,6 +229,7 @@
     /// Summary for an answer whose call tree has this outcome.
     pub fn summary(&self, outcome: outcome::Outcome, now: Instant) -> summary::Summary {
         summary::Summary {
+            call_failed: false,
             credit: outcome.credit,
             executions: outcome.executions,
             overload: self.level.current(now),
--- a/crates/node/src/admission/message.rs
+++ b/crates/node/src/admission/message.rs
@@ -5,6 +5,7 @@
 
 use masticarch_kernel::reply;
 use masticarch_model::target;
+use masticarch_policy::outlier::breaker;
 
 use crate::admission::{entry, key, permit, summary};
 use crate::protocol::notice;
@@ -15,12 +16,18 @@
 pub enum End {
     /// The whole answer of the target arrived after this time.
     Answered(Duration),
+    /// The whole answer of the target arrived after this time, with a server error.
+    Errored(Duration),
+    /// The target stated after this time that it has not run the request.
+    Refused(Duration),
     /// The exchange with the target failed after this time.
     Failed(Duration),
     /// The caller disconnected, or the deadline passed, after this time.
     Cancelled(Duration),
     /// The request was not sent to the target.
     NotRun,
+    /// The request was not sent, because the target accepts no connection.
+    Unreachable,
 }
 
 impl End {
@@ -28,8 +35,23 @@
     #[must_use]
     pub const fn duration(self) -> Duration {
         match self {
-            Self::Answered(time) | Self::Failed(time) | Self::Cancelled(time) => time,
-            Self::NotRun => Duration::ZERO,
+            Self::Answered(time)
+            | Self::Errored(time)
+            | Self::Refused(time)
+            | Self::Failed(time)
+            | Self::Cancelled(time) => time,
+            Self::NotRun | Self::Unreachable => Duration::ZERO,
+        }
+    }
+
+    /// What the end says about the target.
+    #[must_use]
+    pub const fn outcome(self) -> breaker::Outcome {
+        match self {
+            Self::Answered(_) => breaker::Outcome::Success,
+            Self::Errored(_) => breaker::Outcome::Error,
+            Self::Failed(_) | Self::Unreachable => breaker::Outcome::Failure,
+            Self::Refused(_) | Self::Cancelled(_) | Self::NotRun => breaker::Outcome::Neutral,
         }
     }
 }
@@ -61,6 +83,8 @@
     /// Ends a sub-call of a running call, with the retry credit that it has left and the
     /// executions in its call tree; `None` when their number is unknown.
     EndSubCall(key::CallKey, u8, Option<u32>),
+    /// A call that a target beside this node made has failed.
+    CallFailed,
     /// A target beside this node was announced or changed, with its address, or was
     /// removed (`None`).
     Target(target::Target, Option<SocketAddr>),
--- a/crates/node/src/admission/state.rs
+++ b/crates/node/src/admission/state.rs
@@ -31,16 +31,16 @@
     source: context::Source,
     counters: counters::Counters,
     queue_limit: Duration,
-    charges_repeats: bool,
+    decisions: bool,
     next_sweep: Instant,
 }
 
 impl<L: Limiter> State<L> {
-    /// State without targets. `charges_repeats` says whether a repeated execution costs
-    /// credit; it is off in the baseline of experiments.
+    /// State without targets. `decisions` says whether a repeated execution costs credit
+    /// and a target that fails is left out; it is off in the baseline of experiments.
     pub fn new(
         queue_limit: Duration,
-        charges_repeats: bool,
+        decisions: bool,
         counters: counters::Counters,
         now: Instant,
     ) -> Self {
@@ -51,7 +51,7 @@
             source: context::Source::new(),
             counters,
             queue_limit,
-            charges_repeats,
+            decisions,
             next_sweep: now + SWEEP_INTERVAL,
         }
     }
@@ -76,6 +76,11 @@
             message::Message::EndSubCall(key, credit, executions) => {
                 self.end_sub_call(key, outcome::Outcome { credit, executions });
             }
+            message::Message::CallFailed => {
+                for local in self.targets.values_mut() {
+                    local.record_failed_call(now);
+                }
+            }
             message::Message::Target(target, Some(address)) => self.update(target, address, now),
             message::Message::Target(target, None) => self.remove(&target, now),
             message::Message::Status(reply) => {
@@ -113,9 +118,12 @@
         if self.targets[key].announced.state == target::State::Draining {
             return self.deny(key, &entry, reply, code::Code::Draining, now);
         }
+        if self.decisions && !entry.insists && !self.targets[key].is_sound(now) {
+            return self.deny(key, &entry, reply, code::Code::TargetEjected, now);
+        }
         let allowance = allowance::Allowance {
             credit: entry.credit,
-            repeat: entry.repeat && self.charges_repeats,
+            repeat: entry.repeat && self.decisions,
         };
         let Some(account) = account::Account::open(allowance) else {
             return self.deny(key, &entry, reply, code::Code::RetryBudget, now);
@@ -197,18 +205,21 @@
         reply: reply::Reply<summary::Summary>,
         now: Instant,
     ) {
-        let Some(call) = self.end(key, end, now) else {
+        let Some((call, call_failed)) = self.end(key, end, now) else {
             // The call was removed by `sweep`, so the executions in its call tree are
             // unknown.
             let _ = reply.send(without_target(unknown()));
             return;
         };
         let outcome = match end {
-            message::End::NotRun => not_run(call.credit()),
+            message::End::NotRun | message::End::Unreachable => not_run(call.credit()),
             _ => call.account.close(),
         };
         let summary = match self.targets.get(call.local) {
-            Some(local) => local.summary(outcome, now),
+            Some(local) => summary::Summary {
+                call_failed,
+                ..local.summary(outcome, now)
+            },
             None => without_target(outcome),
         };
         let _ = reply.send(summary);
@@ -229,13 +240,18 @@
         }
     }
 
-    /// Removes a call, which cancels its sub-calls.
-    fn end(&mut self, key: key::CallKey, end: message::End, now: Instant) -> Option<call::Call> {
+    /// Removes a call, which cancels its sub-calls. Returns it, and whether its error is due
+    /// to a failed call of the target.
+    fn end(
+        &mut self,
+        key: key::CallKey,
+        end: message::End,
+        now: Instant,
+    ) -> Option<(call::Call, bool)> {
         let call = self.calls.remove(key)?;
-        if let Some(local) = self.targets.get_mut(call.local) {
-            local.record_end(end, call.route(), now);
-        }
-        Some(call)
+        let local = self.targets.get_mut(call.local);
+        let call_failed = local.is_some_and(|local| local.record_end(end, call.route(), now));
+        Some((call, call_failed))
     }
 
     fn begin_sub_call(&mut self, text: &str) -> Option<origin::Parent> {
@@ -343,6 +359,7 @@
         limit: 0,
         in_flight: 0,
         rate_limit: None,
+        call_failed: false,
     }
 }
 
@@ -354,6 +371,7 @@
         code::Code::Overloaded => "the target has no capacity for this priority",
         code::Code::DeadlineExceeded => "the request could not end before its deadline",
         code::Code::NoTarget => "no target of the service runs beside this node",
+        code::Code::TargetEjected => "the target fails",
         _ => "the request cannot run at present",
     }
 }
--- a/crates/node/src/admission/summary.rs
+++ b/crates/node/src/admission/summary.rs
@@ -18,4 +18,6 @@
     pub in_flight: u32,
     /// Requests per second that the target states as its limit.
     pub rate_limit: Option<f64>,
+    /// Whether the answer is an error that is due to a failed call of the target.
+    pub call_failed: bool,
 }
--- a/crates/node/src/caller/attempt.rs
+++ b/crates/node/src/caller/attempt.rs
@@ -39,6 +39,7 @@
             caller: services.options.service.clone(),
             rate_limit: choice.rate_limit,
             leaving: choice.leaving.clone(),
+            insists: choice.insists,
         },
         request: request.clone(),
     };
@@ -72,6 +73,7 @@
         limit: summary.map(|summary| (summary.limit, summary.in_flight)),
         rate_limit: summary.and_then(|summary| summary.rate_limit),
         leaving: outcome.leaving.clone(),
+        call_failed: summary.is_some_and(|summary| summary.call_failed),
     }
 }
 
--- a/crates/node/src/caller/guard.rs
+++ b/crates/node/src/caller/guard.rs
@@ -121,5 +121,6 @@
         limit: None,
         rate_limit: None,
         leaving: None,
+        call_failed: false,
     }
 }
--- a/crates/node/src/caller/handler.rs
+++ b/crates/node/src/caller/handler.rs
@@ -12,7 +12,7 @@
 use crate::admission::message as call;
 use crate::claims::reservation;
 use crate::gate::{admission, choice, message, report, request as gate};
-use crate::protocol::Protocol;
+use crate::protocol::{Protocol, metadata};
 use crate::target::job;
 use crate::{origin, race, refusal, services, session};
 
@@ -55,6 +55,20 @@
                 return Err(Refused { refusal, id });
             }
         };
+        let is_call = is_call(&metadata.request.origin);
+        let result = self.serve(metadata, request).await;
+        if is_call && is_failed(&result) {
+            let _ = services.admission.send(call::Message::CallFailed).await;
+        }
+        result
+    }
+
+    async fn serve(
+        &mut self,
+        metadata: metadata::Metadata,
+        request: request::Request,
+    ) -> Result<answer::Answer, Refused> {
+        let services = Rc::clone(&self.services);
         let id: Box<str> = metadata.request.id.as_deref().unwrap_or(NO_ID).into();
         let parent = match &metadata.request.origin {
             origin::Origin::SubCall(parent) => Some(parent.clone()),
@@ -235,6 +249,21 @@
     }
 }
 
+/// Whether a request may be a call of the target beside this node: it belongs to a running
+/// call, or comes without a key.
+const fn is_call(origin: &origin::Origin) -> bool {
+    match origin {
+        origin::Origin::SubCall(_) => true,
+        origin::Origin::Caller(key) => key.is_none(),
+    }
+}
+
+fn is_failed(result: &Result<answer::Answer, Refused>) -> bool {
+    result
+        .as_ref()
+        .map_or(true, |answer| answer.status.is_server_error())
+}
+
 /// Asks the gate to admit a new request.
 async fn admit(
     services: &services::Services,
--- a/crates/node/src/gate/balancer.rs
+++ b/crates/node/src/gate/balancer.rs
@@ -99,18 +99,22 @@
         self.endpoints.get(key)
     }
 
-    /// Chooses a usable target that is not among `tried`.
+    /// Chooses a usable target that is not among `tried`. Without `insists`, none that fails
+    /// according to its node.
     pub fn choose(
         &self,
         work: &work::Work,
         tried: &[endpoint::EndpointKey],
+        insists: bool,
         rng: &mut Rng,
         now: Instant,
     ) -> Option<endpoint::EndpointKey> {
         let upstream = self.upstreams.get(work.upstream)?;
         let expected = upstream.expected_latency(&work.route);
         let usable = |key: endpoint::EndpointKey| {
-            !tried.contains(&key) && self.endpoints[key].is_usable(now)
+            let endpoint = &self.endpoints[key];
+            let sound = insists || !endpoint.is_failing(now);
+            !tried.contains(&key) && endpoint.is_usable(now) && sound
         };
         let load = |key: endpoint::EndpointKey| {
             let endpoint = &self.endpoints[key];
--- a/crates/node/src/gate/choice.rs
+++ b/crates/node/src/gate/choice.rs
@@ -26,4 +26,6 @@
     pub rate_limit: Option<f64>,
     /// Run of the target that has stated that it is leaving, as far as is known.
     pub leaving: Option<Box<str>>,
+    /// Whether the target is chosen although it fails, because no other one is known.
+    pub insists: bool,
 }
--- a/crates/node/src/gate/classify.rs
+++ b/crates/node/src/gate/classify.rs
@@ -36,6 +36,7 @@
             | code::Code::Draining
             | code::Code::NoTarget
             | code::Code::BufferFull
+            | code::Code::TargetEjected
             | code::Code::TargetRefused
     );
     refused || is_target_fault(code)
--- a/crates/node/src/gate/dispatcher.rs
+++ b/crates/node/src/gate/dispatcher.rs
@@ -22,6 +22,14 @@
 /// proxies.
 const MAX_BASELINE_ATTEMPTS: usize = 3;
 
+/// A target for an attempt.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    endpoint: endpoint::EndpointKey,
+    /// Whether it is chosen although it fails.
+    insists: bool,
+}
+
 /// A request that is not sent to any target.
 #[derive(Debug)]
 pub struct Refused {
@@ -81,12 +89,13 @@
             rank: pending.context.rank,
             route: pending.route.clone(),
         };
-        let Some(endpoint) = self.choose(&work, &[], now) else {
+        let Some(candidate) = self.choose(&work, &[], now) else {
             let code = code::Code::NoTarget;
             return Err(Refused { pending, code });
         };
         let mut balance = balance::Balance::new(pending.context.allowance);
-        let choice = self.choice(endpoint, &mut balance, pending.context.deadline, now);
+        let endpoint = candidate.endpoint;
+        let choice = self.choice(candidate, &mut balance, pending.context.deadline, now);
         let request = self.running.insert(running::Running {
             work,
             deadline: pending.context.deadline,
@@ -131,31 +140,38 @@
         work: &work::Work,
         tried: &[endpoint::EndpointKey],
         now: Instant,
-    ) -> Option<endpoint::EndpointKey> {
+    ) -> Option<Candidate> {
         let untried = self.choose_untried(work, tried, now);
         untried.or_else(|| self.choose_untried(work, &[], now))
     }
 
     /// A usable target that was not tried. A target that has just refused a request
-    /// for lack of capacity would refuse it again, and refusing costs capacity.
+    /// for lack of capacity would refuse it again, and refusing costs capacity. One that
+    /// fails is better than none: a fault of all targets is seldom their own.
     fn choose_untried(
         &mut self,
         work: &work::Work,
         tried: &[endpoint::EndpointKey],
         now: Instant,
-    ) -> Option<endpoint::EndpointKey> {
-        self.balancer.choose(work, tried, &mut self.rng, now)
+    ) -> Option<Candidate> {
+        [false, true].into_iter().find_map(|insists| {
+            let chosen = self
+                .balancer
+                .choose(work, tried, insists, &mut self.rng, now);
+            chosen.map(|endpoint| Candidate { endpoint, insists })
+        })
     }
 
     fn choice(
         &self,
-        key: endpoint::EndpointKey,
+        candidate: Candidate,
         balance: &mut balance::Balance,
         deadline: Instant,
         now: Instant,
     ) -> choice::Choice {
         let allowance = balance.lend();
-        let endpoint = self.balancer.get(key).expect("a chosen target is known");
+        let endpoint = self.balancer.get(candidate.endpoint);
+        let endpoint = endpoint.expect("a chosen target is known");
         let statement = self.balancer.statement(endpoint);
         choice::Choice {
             target: endpoint.target,
@@ -167,6 +183,7 @@
             timeout: deadline.saturating_duration_since(now),
             rate_limit: statement.and_then(|statement| statement.rate_limit),
             leaving: statement.and_then(|statement| statement.leaving.clone()),
+            insists: candidate.insists,
         }
     }
 
@@ -209,7 +226,7 @@
         );
         // A target may repeat its refusal of an earlier attempt, which has the same id.
         let untried_only = has_no_capacity || running.refused_by_target;
-        let endpoint = if self.options.decisions && untried_only {
+        let candidate = if self.options.decisions && untried_only {
             self.choose_untried(&work, &tried, now)?
         } else {
             self.choose(&work, &tried, now)?
@@ -223,7 +240,8 @@
             return None;
         }
         let (mut balance, deadline) = (running.balance, running.deadline);
-        let choice = self.choice(endpoint, &mut balance, deadline, now);
+        let endpoint = candidate.endpoint;
+        let choice = self.choice(candidate, &mut balance, deadline, now);
         self.balancer.record_start(endpoint);
         let running = self.running.get_mut(key)?;
         running.balance = balance;
--- a/crates/node/src/gate/endpoint.rs
+++ b/crates/node/src/gate/endpoint.rs
@@ -26,6 +26,9 @@
 /// one between two announcements of their node.
 const LEAVING_RECHECK: Duration = Duration::from_millis(200);
 
+/// Time for which a target that fails, according to its node, is not chosen.
+const FAILING_RECHECK: Duration = Duration::from_millis(500);
+
 /// A target as the entry node knows it: from the directory, and from the answers to
 /// its own requests.
 #[derive(Debug)]
@@ -54,6 +57,8 @@
     admitted_rank: u8,
     reported_at: Option<Instant>,
     leaving_until: Option<Instant>,
+    /// Until when requests go elsewhere, because the target fails.
+    failing_until: Option<Instant>,
 }
 
 impl Endpoint {
@@ -81,6 +86,7 @@
             admitted_rank: level::ALL,
             reported_at: None,
             leaving_until: None,
+            failing_until: None,
         }
     }
 
@@ -90,6 +96,11 @@
         self.serving && !leaving && !self.detector.is_ejected(now)
     }
 
+    /// Whether the node beside the target has refused a request because the target fails.
+    pub fn is_failing(&self, now: Instant) -> bool {
+        self.failing_until.is_some_and(|until| now < until)
+    }
+
     /// Whether the target sheds requests of this rank according to its last load report.
     pub fn sheds(&self, rank: u8, now: Instant) -> bool {
         rank > self.admitted_rank && self.is_fresh(now)
@@ -125,13 +136,18 @@
         if report.leaving.is_some() || report.failure == Some(code::Code::Draining) {
             self.leaving_until = Some(now + LEAVING_RECHECK);
         }
+        if report.failure == Some(code::Code::TargetEjected) {
+            self.failing_until = Some(now + FAILING_RECHECK);
+        }
         match classify::failure(report) {
             None => {
                 self.slowness.record(report.latency, expected, now);
                 self.detector.record_success(now);
                 false
             }
-            Some(code) if classify::is_target_fault(code) => self.detector.record_failure(now),
+            Some(code) if classify::is_target_fault(code) && !report.call_failed => {
+                self.detector.record_failure(now)
+            }
             Some(_) => false,
         }
     }
--- a/crates/node/src/gate/report.rs
+++ b/crates/node/src/gate/report.rs
@@ -28,4 +28,6 @@
     pub rate_limit: Option<f64>,
     /// Run of the target that has stated in its answer that it is leaving.
     pub leaving: Option<Box<str>>,
+    /// Whether the answer is an error that is due to a failed call of the target.
+    pub call_failed: bool,
 }
--- a/crates/node/src/peer/headers.rs
+++ b/crates/node/src/peer/headers.rs
@@ -31,6 +31,7 @@
     }
     write_rate_limit(headers, entry.rate_limit);
     write_leaving(headers, entry.leaving.as_deref());
+    write_flag(headers, names::INSIST, entry.insists);
 }
 
 /// Reads the entry that another node sent; `None` when a required header is missing or
@@ -52,6 +53,7 @@
         caller: fields::text(headers, names::CALLER).map(name::Name::new),
         rate_limit: read_rate_limit(headers),
         leaving: read_leaving(headers),
+        insists: read_flag(headers, names::INSIST),
     })
 }
 
@@ -66,6 +68,7 @@
         fields::set_number(headers, names::EXECUTIONS, executions);
     }
     write_rate_limit(headers, summary.rate_limit);
+    write_flag(headers, names::CALL_FAILED, summary.call_failed);
 }
 
 /// Adds the run of the target that has stated that it is leaving, if there is one.
@@ -117,9 +120,20 @@
         limit: limit.parse().ok()?,
         in_flight: in_flight.parse().ok()?,
         rate_limit: read_rate_limit(headers),
+        call_failed: read_flag(headers, names::CALL_FAILED),
     })
 }
 
+fn write_flag(headers: &mut HeaderMap, name: &'static str, flag: bool) {
+    if flag {
+        fields::set(headers, name, "1");
+    }
+}
+
+fn read_flag(headers: &HeaderMap, name: &str) -> bool {
+    fields::text(headers, name) == Some("1")
+}
+
 fn read_refusal(answer: &answer::Answer) -> Option<refusal::Refusal> {
     let number = fields::number(&answer.headers, names::CODE)?;
     let code = code::Code::from_number(number).unwrap_or(code::Code::TargetFailed);
--- a/crates/node/src/target/guard.rs
+++ b/crates/node/src/target/guard.rs
@@ -69,6 +69,18 @@
         End::Answered(self.started.elapsed())
     }
 
+    /// End of a call whose answer, a server error, has arrived whole.
+    #[must_use]
+    pub fn errored(&self) -> End {
+        End::Errored(self.started.elapsed())
+    }
+
+    /// End of a call that the target has refused.
+    #[must_use]
+    pub fn refused(&self) -> End {
+        End::Refused(self.started.elapsed())
+    }
+
     /// End of a call whose answer has not arrived whole.
     #[must_use]
     pub fn failed(&self) -> End {
--- a/crates/node/src/target/run.rs
+++ b/crates/node/src/target/run.rs
@@ -55,8 +55,12 @@
     let deadline = monoio::time::Instant::from_std(watch.job.entry.deadline);
     let exchange = exchange::<P>(services, &mut guard, &permit, &mut watch);
     let (result, end) = match monoio::time::timeout_at(deadline, exchange).await {
+        Ok(Ok(answer)) if answer.status.is_server_error() => (Ok(answer), guard.errored()),
         Ok(Ok(answer)) => (Ok(answer), guard.answered()),
-        Ok(Err(refusal)) => (Err(refusal), guard.failed()),
+        Ok(Err(refusal)) => {
+            let end = failed_end(&guard, &refusal);
+            (Err(refusal), end)
+        }
         Err(_) => (Err(timed_out(&guard)), guard.cancelled()),
     };
     let leaving = guard.leaving();
@@ -68,6 +72,15 @@
     }
 }
 
+/// The end of a call that was refused, or got no whole answer.
+fn failed_end(guard: &guard::Guard, refusal: &refusal::Refusal) -> admission::End {
+    match (refusal.code, guard.failed()) {
+        (code::Code::TargetRefused, _) => guard.refused(),
+        (code::Code::TargetFailed, admission::End::NotRun) => admission::End::Unreachable,
+        (_, end) => end,
+    }
+}
+
 async fn exchange<P: Protocol>(
     services: &services::Services,
     guard: &mut guard::Guard,
--- a/crates/node/tests/admission.rs
+++ b/crates/node/tests/admission.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use masticarch_model::{code, target};
-use masticarch_node::admission::message;
+use masticarch_node::admission::{entry, message};
 
 const ANSWERED: message::End = message::End::Answered(Duration::from_millis(10));
 
@@ -166,3 +166,48 @@
 
     assert!(permit.is_ok(), "{permit:?}");
 }
+
+// Guards against requests to a target that fails them all, and against a service without
+// targets once each of them fails.
+#[test]
+fn failing_target_gets_only_requests_that_insist() {
+    let (refused, insisting) = fixture::with_admission(true, |admission| async move {
+        for _ in 0..5 {
+            let permit = admission.acquire(fixture::entry(3, false)).await.unwrap();
+            let failed = message::End::Failed(Duration::from_millis(10));
+            admission.release(&permit, failed).await;
+        }
+        let refused = admission.acquire(fixture::entry(3, false)).await;
+        let insisting = entry::Entry {
+            insists: true,
+            ..fixture::entry(3, false)
+        };
+        (refused, admission.acquire(insisting).await)
+    });
+
+    let (refusal, _) = refused.unwrap_err();
+    assert_eq!(refusal.code, code::Code::TargetEjected);
+    assert!(insisting.is_ok(), "{insisting:?}");
+}
+
+// Guards against a target that is left out because a service that it calls fails.
+#[test]
+fn errors_after_failed_calls_do_not_eject_a_target() {
+    let (summaries, next) = fixture::with_admission(true, |admission| async move {
+        let mut summaries = Vec::new();
+        for _ in 0..10 {
+            let permit = admission.acquire(fixture::entry(3, false)).await.unwrap();
+            admission
+                .address
+                .send(message::Message::CallFailed)
+                .await
+                .unwrap();
+            let end = message::End::Errored(Duration::from_millis(10));
+            summaries.push(admission.release(&permit, end).await);
+        }
+        (summaries, admission.acquire(fixture::entry(3, false)).await)
+    });
+
+    assert!(summaries.iter().all(|summary| summary.call_failed));
+    assert!(next.is_ok(), "{next:?}");
+}
--- a/crates/node/tests/fingerprint.rs
+++ b/crates/node/tests/fingerprint.rs
@@ -29,6 +29,7 @@
             caller: Some("alertas".into()),
             rate_limit: None,
             leaving: None,
+            insists: false,
         },
         request,
     }
--- a/crates/node/tests/path.rs
+++ b/crates/node/tests/path.rs
@@ -5,6 +5,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::Ordering;
+use std::thread;
 use std::time::{Duration, Instant};
 
 use common::{client, fleet, target};
@@ -12,6 +13,9 @@
 
 const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello";
 
+/// Time after which every node knows of all targets.
+const SETTLING_TIME: Duration = Duration::from_millis(500);
+
 /// Two nodes, of which the second has a target.
 fn pair(script: target::Script) -> (fleet::Node, fleet::Node, target::Target) {
     let control = fleet::control();
@@ -393,3 +397,35 @@
     assert!(answer.contains("x-own: 1\r\n"), "{answer}");
     assert!(answer.ends_with("\r\n\r\n"), "{answer}");
 }
+
+// Guards against a failing target that fails a few requests of each entry node, however many
+// nodes there are.
+#[test]
+fn failing_target_is_noticed_by_its_own_node() {
+    const ERROR: &str = "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 0\r\n\r\n";
+    let control = fleet::control();
+    let (bad, good) = (fleet::node("bad", control), fleet::node("good", control));
+    let failing = target::start(target::answering(ERROR));
+    let sound = target::start(target::answering(OK));
+    bad.announce(&failing, 8);
+    good.announce(&sound, 8);
+    let names = ["a", "b", "c", "d", "e", "f"];
+    let entries = names.map(|name| fleet::node(name, control));
+    for entry in &entries {
+        entry.wait_for_target();
+    }
+    thread::sleep(SETTLING_TIME);
+
+    let mut answers = Vec::new();
+    for _ in 0..8 {
+        for entry in &entries {
+            answers.push(client::exchange(entry.caller, &client::get("/guiones", "")));
+        }
+    }
+
+    let failed = failing.requests.load(Ordering::SeqCst);
+    assert!(failed <= 6, "{failed}");
+    for answer in answers {
+        assert!(answer.starts_with("HTTP/1.1 200 OK\r\n"), "{answer}");
+    }
+}
--- a/crates/policy/src/estimate/table.rs
+++ b/crates/policy/src/estimate/table.rs
@@ -33,6 +33,13 @@
         self.kinds.get(kind).map(kind::Kind::mean)
     }
 
+    /// Mean service time of the slowest kind; zero without samples.
+    #[must_use]
+    pub fn longest(&self) -> Duration {
+        let means = self.kinds.values().map(kind::Kind::mean);
+        means.max().unwrap_or_default()
+    }
+
     /// Mean service time over the recent mix of kinds; zero without samples.
     #[must_use]
     pub fn mean(&self, now: Instant) -> Duration {
--- a/crates/policy/src/outlier/mod.rs
+++ b/crates/policy/src/outlier/mod.rs
@@ -1,5 +1,6 @@
 //! Outlier detection: temporary ejection of targets that fail.
 
+pub mod breaker;
 pub mod detector;
 
 /// Whether one more of `total` targets of a service may be ejected. At most half
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -42,6 +42,12 @@
 pub const RATE_LIMIT: &str = "masticarch-rate-limit";
 /// From a target: `1` when it is leaving. Between nodes: the run of the target that is.
 pub const LEAVING: &str = "masticarch-leaving";
+/// `1` on a request that is sent to its target although the target fails, because no other
+/// one is known. Sent between nodes.
+pub const INSIST: &str = "masticarch-insist";
+/// `1` on an answer with an error that is due to a failed call of the target. Sent between
+/// nodes.
+pub const CALL_FAILED: &str = "masticarch-call-failed";
 /// Number of a result code.
 pub const CODE: &str = "masticarch-code";
 /// Reason of a result code, in `snake_case`.
