Report leases at once to a new leader

The tasks of a node share what they know of the leader, and a change of it brings the next lease request forward.

--- a/crates/node/src/contacts.rs
+++ b/crates/node/src/contacts.rs
@@ -1,6 +1,6 @@
 //! Addresses at which the control processes are reached.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -11,6 +11,7 @@
 pub struct Contacts {
     settings: Rc<RefCell<Vec<SocketAddr>>>,
     addresses: Rc<RefCell<Vec<SocketAddr>>>,
+    leader: Rc<Cell<Option<SocketAddr>>>,
 }
 
 impl Contacts {
@@ -20,6 +21,25 @@
         Self {
             settings: Rc::new(RefCell::new(settings.to_vec())),
             addresses: Rc::new(RefCell::new(settings.to_vec())),
+            leader: Rc::default(),
+        }
+    }
+
+    /// The process that was last known to lead.
+    #[must_use]
+    pub fn leader(&self) -> Option<SocketAddr> {
+        self.leader.get()
+    }
+
+    /// Records that a process has answered as the leader.
+    pub fn record_leader(&self, address: SocketAddr) {
+        self.leader.set(Some(address));
+    }
+
+    /// Forgets the leader if it is this process, which does not answer or does not lead.
+    pub fn forget_leader(&self, address: SocketAddr) {
+        if self.leader.get() == Some(address) {
+            self.leader.set(None);
         }
     }
 
--- a/crates/node/src/gate/message.rs
+++ b/crates/node/src/gate/message.rs
@@ -64,6 +64,8 @@
     /// The control leader, which owns the limits, may not have received the latest
     /// reports.
     ReportsLost,
+    /// Another control process leads, and waits for the reports of all nodes.
+    LeaderChanged,
     /// Refuses new requests from now on.
     Drain,
 }
--- a/crates/node/src/gate/state.rs
+++ b/crates/node/src/gate/state.rs
@@ -87,6 +87,7 @@
                 self.teams.reports_lost();
                 self.lease_report.bring_forward(now + REPORT_RETRY_DELAY);
             }
+            message::Message::LeaderChanged => self.lease_report.bring_forward(now),
             message::Message::Drain => self.draining = true,
         }
     }
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -48,6 +48,8 @@
     credential: handshake::Credential,
     timeout: Duration,
     link: Option<link::Link<member::Client>>,
+    /// Address of the process that the link leads to, or that is being connected to.
+    address: Option<SocketAddr>,
 }
 
 impl fmt::Debug for Leader {
@@ -76,6 +78,7 @@
             credential,
             timeout,
             link: None,
+            address: None,
         }
     }
 
@@ -105,7 +108,10 @@
                     return Err(error);
                 }
                 Ok(reply) => match R::redirect(&reply) {
-                    None => return Ok(reply),
+                    None => {
+                        self.record_leader();
+                        return Ok(reply);
+                    }
                     Some(hint) => self.disconnect(hint),
                 },
             }
@@ -114,6 +120,7 @@
     }
 
     async fn call<R: Request>(&mut self, payload: &[u8]) -> Result<R::Reply, error::Error> {
+        self.follow_leader();
         let client = match &self.link {
             Some(link) => link.client.clone(),
             None => self.connect().await?,
@@ -121,11 +128,27 @@
         message::decode(&R::send(&client, payload).await?)
     }
 
+    /// Leaves a process that no longer leads, as another call of this node has found out.
+    fn follow_leader(&mut self) {
+        let leader = self.contacts.leader();
+        if leader.is_some() && leader != self.address {
+            self.link = None;
+            self.hint = leader;
+        }
+    }
+
+    fn record_leader(&self) {
+        if let Some(address) = self.address {
+            self.contacts.record_leader(address);
+        }
+    }
+
     async fn connect(&mut self) -> Result<member::Client, error::Error> {
         let address = self
             .hint
             .or_else(|| self.contacts.get(self.position))
             .ok_or(error::Error::Timeout)?;
+        self.address = Some(address);
         let role = handshake::Role::Member;
         let opening = rpc::open_link(address, role, &self.credential);
         let link = monoio::time::timeout(CONNECT_TIMEOUT, opening)
@@ -137,6 +160,9 @@
     /// Closes the connection. The next call goes to `hint`, or without one to the
     /// next of the contacts.
     fn disconnect(&mut self, hint: Option<SocketAddr>) {
+        if let Some(address) = self.address.take() {
+            self.contacts.forget_leader(address);
+        }
         self.link = None;
         self.hint = hint;
         if hint.is_none() {
--- a/crates/node/src/lease/service.rs
+++ b/crates/node/src/lease/service.rs
@@ -1,5 +1,6 @@
 //! The service that renews the node's leases of shares of team limits.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -19,10 +20,13 @@
 
 struct Renewer {
     leader: leader::Leader,
+    contacts: contacts::Contacts,
     options: Rc<options::Options>,
     incarnation: incarnation::Incarnation,
     gate: address::Address<gate::message::Message>,
     last_sent: Option<Instant>,
+    /// The leader that the last request was answered by.
+    reported_to: Option<SocketAddr>,
 }
 
 /// Runs the service until asked to stop.
@@ -34,11 +38,17 @@
     stop: stop::Stop,
 ) {
     let mut renewer = Renewer {
-        leader: leader::Leader::new(contacts, options.credential.clone(), leader::CALL_TIMEOUT),
+        leader: leader::Leader::new(
+            contacts.clone(),
+            options.credential.clone(),
+            leader::CALL_TIMEOUT,
+        ),
         options,
         incarnation,
         gate,
         last_sent: None,
+        contacts,
+        reported_to: None,
     };
     let renewing = std::pin::pin!(renewer.renew());
     let stopped = std::pin::pin!(stop.wait());
@@ -64,7 +74,7 @@
         let recent = self
             .last_sent
             .is_some_and(|sent| sent.elapsed() < MAX_REQUEST_INTERVAL);
-        !recent || !reports.is_empty()
+        !recent || !reports.is_empty() || self.contacts.leader() != self.reported_to
     }
 
     async fn request(&mut self, reports: Vec<lease::Report>) {
@@ -77,7 +87,10 @@
         self.last_sent = Some(sent);
         let reply = self.leader.ask(&request, Duration::ZERO).await;
         let message = match reply {
-            Ok(lease::Reply::Grants(grants)) => gate::message::Message::Grants(grants, sent),
+            Ok(lease::Reply::Grants(grants)) => {
+                self.reported_to = self.contacts.leader();
+                gate::message::Message::Grants(grants, sent)
+            }
             _ => gate::message::Message::ReportsLost,
         };
         let _ = self.gate.send(message).await;
--- a/crates/node/src/sync/service.rs
+++ b/crates/node/src/sync/service.rs
@@ -1,5 +1,6 @@
 //! The service that holds the node's copy of the published state.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -46,6 +47,8 @@
     current_at: Option<Instant>,
     announced: Vec<target::Target>,
     draining: bool,
+    /// The leader that answered last.
+    leader: Option<SocketAddr>,
 }
 
 /// Runs the service until asked to stop, then tells the leader that the node
@@ -77,6 +80,7 @@
         current_at: None,
         announced: Vec::new(),
         draining: false,
+        leader: None,
     };
     let mut stopped = std::pin::pin!(stop.wait());
     loop {
@@ -154,7 +158,21 @@
         targets
     }
 
+    /// Has the leases reported at once to a new leader, which grants nothing before.
+    async fn follow_leader(&mut self) {
+        let leader = self.context.contacts.leader();
+        if leader != self.leader {
+            self.leader = leader;
+            let _ = self
+                .context
+                .gate
+                .send(gate::message::Message::LeaderChanged)
+                .await;
+        }
+    }
+
     async fn receive(&mut self, reply: sync::Reply, sent: Instant) {
+        self.follow_leader().await;
         let held = self.view.version;
         let changed = match reply {
             sync::Reply::Deltas(reached, deltas) if reached >= held => {
--- a/crates/node/tests/leader.rs
+++ b/crates/node/tests/leader.rs
@@ -1,8 +1,9 @@
 //! Calls to the control leader.
 
+mod common;
 mod fixture;
 
-use std::net::TcpListener;
+use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
 use masticarch_kernel::runtime;
@@ -10,6 +11,8 @@
 use masticarch_node::{contacts, leader};
 use masticarch_wire::message::lease;
 
+use common::fleet;
+
 /// Time within which a node must give up a control process that does not answer, so
 /// that it reaches a new leader within two seconds after that leader has acknowledged a
 /// change.
@@ -56,3 +59,28 @@
     assert_eq!(learnt, [address(2), address(3), address(1)]);
     assert_eq!(reloaded, Some(address(4)));
 }
+
+// Guards against each task of a node that finds a new leader anew, by timeouts.
+#[test]
+fn call_follows_the_leader_that_another_call_has_found() {
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let live = fleet::control();
+    fleet::wait_for(|| TcpStream::connect(live).is_ok());
+    let contacts = contacts::Contacts::new(&[silent.local_addr().unwrap(), live]);
+    let request = lease::Request {
+        node: "node-0".into(),
+        incarnation: incarnation::Incarnation(1),
+        reports: Vec::new(),
+    };
+
+    contacts.record_leader(live);
+    let outcome = runtime::run(async {
+        let credential = fixture::options(true).credential.clone();
+        let mut leader = leader::Leader::new(contacts.clone(), credential, leader::CALL_TIMEOUT);
+        leader.ask(&request, Duration::ZERO).await.map(drop)
+    })
+    .unwrap();
+
+    assert!(outcome.is_ok(), "{outcome:?}");
+    assert_eq!(contacts.leader(), Some(live));
+}
--- a/crates/policy/src/share/holder.rs
+++ b/crates/policy/src/share/holder.rs
@@ -28,6 +28,9 @@
 /// while a team sends several times its rate.
 const MAX_WAITING: usize = 1024;
 
+/// Time for which requests that have waited for a silent owner wait on once it answers.
+const BACKLOG_TIME: Duration = Duration::from_millis(800);
+
 /// How long a request may wait for a token.
 #[derive(Clone, Copy, Debug)]
 pub struct Patience {
@@ -77,6 +80,8 @@
     reported: Option<Reported>,
     /// When the latest report was sent that the owner has answered.
     answered: Option<Instant>,
+    /// When the owner answered again after a silence.
+    resumed: Option<Instant>,
     waiting: VecDeque<Waiter<T>>,
 }
 
@@ -92,6 +97,7 @@
             demand: demand::Demand::new(now),
             reported: None,
             answered: None,
+            resumed: None,
             waiting: VecDeque::new(),
         }
     }
@@ -164,7 +170,7 @@
     /// once; tokens that exceed its burst are released with the next report.
     pub fn grant(&mut self, share: Share, tokens: f64, sent: Instant, now: Instant) {
         self.advance(now);
-        self.answered = self.answered.max(Some(sent));
+        self.record_answer(sent, now);
         let expires = sent + LEASE_DURATION;
         if expires <= now {
             return;
@@ -173,6 +179,16 @@
         self.expires = self.expires.max(Some(expires));
     }
 
+    fn record_answer(&mut self, sent: Instant, now: Instant) {
+        let waited_in_vain = |waiter: &Waiter<T>| {
+            waiter.patience.until < now && self.answered.is_none_or(|sent| sent < waiter.since)
+        };
+        if self.waiting.front().is_some_and(waited_in_vain) {
+            self.resumed = Some(now);
+        }
+        self.answered = self.answered.max(Some(sent));
+    }
+
     /// Sets the drawn tokens in answer to a request that was sent at `sent`. Tokens
     /// that waiting requests do not need, or that come too late, are released with
     /// the next report.
@@ -286,11 +302,14 @@
     /// Until when a request waits, as far as is known now.
     fn end_of_wait(&self, waiter: &Waiter<T>) -> Instant {
         let patience = waiter.patience;
-        if self.answered.is_some_and(|sent| sent >= waiter.since) {
-            patience.until
-        } else {
-            patience.unanswered.max(patience.until)
+        let latest = patience.unanswered.max(patience.until);
+        if self.answered.is_none_or(|sent| sent < waiter.since) {
+            return latest;
         }
+        // After a silence the owner has no tokens at first, and many requests wait for them.
+        let resumed = self.resumed.filter(|resumed| *resumed >= waiter.since);
+        let backlog_ends = resumed.map(|resumed| resumed + BACKLOG_TIME);
+        backlog_ends.map_or(patience.until, |ends| ends.min(latest).max(patience.until))
     }
 
     /// Number of waiting requests.
