Count drawn tokens towards the burst for a shorter time

Drawn tokens count towards a team's burst for as long as they may be used, 420 ms.

A node now uses them within 250 ms of its request, far above a round trip between regions with a quorum round (60 ms), and the owner counts them for 263 ms. Tokens that no waiting request used in that time go back with the next report; before, a later request could use them at any time after it. Failing before: small_burst_leaves_the_rate_usable. While old and new nodes run together, an old node may use a drawn token up to 137 ms after the new owner has stopped counting it.

--- a/crates/policy/src/share/holder.rs
+++ b/crates/policy/src/share/holder.rs
@@ -76,6 +76,8 @@
     released: f64,
     /// Drawn tokens, which only waiting requests may use.
     drawn: f64,
+    /// Until when drawn tokens may be used.
+    drawn_until: Instant,
     demand: demand::Demand,
     reported: Option<Reported>,
     /// When the latest report was sent that the owner has answered.
@@ -94,6 +96,7 @@
             expires: None,
             released: 0.0,
             drawn: 0.0,
+            drawn_until: now,
             demand: demand::Demand::new(now),
             reported: None,
             answered: None,
@@ -194,8 +197,9 @@
     /// the next report.
     pub fn draw(&mut self, tokens: f64, sent: Instant, now: Instant) {
         self.advance(now);
-        self.drawn = 0.0;
-        let in_time = now < sent + lease::DRAW_DURATION;
+        self.release_drawn();
+        self.drawn_until = sent + lease::DRAW_DURATION;
+        let in_time = now < self.drawn_until;
         let needed = if in_time { self.missing_tokens() } else { 0.0 };
         self.drawn = tokens.min(needed);
         self.released += tokens - self.drawn;
@@ -206,6 +210,11 @@
         (self.waiting_count() - self.bucket.tokens().floor() - self.drawn).max(0.0)
     }
 
+    /// Gives drawn tokens back that no waiting request has used.
+    fn release_drawn(&mut self) {
+        self.released += std::mem::take(&mut self.drawn);
+    }
+
     fn take_drawn(&mut self) -> bool {
         let enough = self.drawn >= 1.0;
         if enough {
@@ -326,6 +335,9 @@
             self.reported = None;
             self.bucket.clear();
         }
+        if self.drawn_until <= now {
+            self.release_drawn();
+        }
         self.bucket.advance(now);
     }
 }
--- a/crates/policy/src/share/lease.rs
+++ b/crates/policy/src/share/lease.rs
@@ -12,10 +12,11 @@
 pub const OWNER_DURATION: Duration = Duration::from_secs(3);
 
 /// Time for which a holder may use drawn tokens, by its own clock, counted from
-/// before it sent the request. No request waits longer for a token.
-pub const DRAW_DURATION: Duration = Duration::from_millis(400);
+/// before it sent the request. It is far above a round trip between regions, and short because
+/// drawn tokens count towards the burst.
+pub const DRAW_DURATION: Duration = Duration::from_millis(250);
 /// Time for which the owner counts drawn tokens as in use, by its own clock.
-pub const DRAW_OWNER_DURATION: Duration = Duration::from_millis(420);
+pub const DRAW_OWNER_DURATION: Duration = Duration::from_millis(263);
 
 /// Rate and burst of a team's limit, or of a part of it.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- a/crates/policy/tests/share_scale.rs
+++ b/crates/policy/tests/share_scale.rs
@@ -8,6 +8,8 @@
 use rstest::rstest;
 
 const STEP: Duration = Duration::from_millis(10);
+/// Most requests in one step.
+const SLICES: u32 = 4;
 /// Time between a report and the grant in answer to it.
 const ROUND_TRIP: Duration = Duration::from_millis(60);
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(50);
@@ -17,6 +19,11 @@
     rate: 13.0,
     burst: 13.0,
 };
+/// A limit whose burst is small compared with its rate.
+const SMALL_BURST: lease::Share = lease::Share {
+    rate: 100.0,
+    burst: 30.0,
+};
 
 /// A node, with the time and the answer of its outstanding report.
 struct Node {
@@ -51,12 +58,12 @@
 }
 
 /// A fleet whose owner has held the limit for some time, without requests.
-fn fleet(nodes: usize, seed: u64) -> Fleet {
+fn fleet(nodes: usize, whole: lease::Share, seed: u64) -> Fleet {
     let now = Instant::now();
     let mut owner = owner::Owner::first(now);
     let whole = lease::Limit {
         team: team(),
-        whole: LIMIT,
+        whole,
     };
     owner.set_limits(now, &[whole]);
     let node = || Node {
@@ -80,8 +87,10 @@
         let end = self.now + time;
         while self.now < end {
             self.now += STEP;
-            if self.rng.f64() < per_second * STEP.as_secs_f64() {
-                self.request();
+            for _ in 0..SLICES {
+                if self.rng.f64() < per_second * STEP.as_secs_f64() / f64::from(SLICES) {
+                    self.request();
+                }
             }
             for index in 0..self.nodes.len() {
                 self.exchange(index);
@@ -170,7 +179,7 @@
     let mut made = 0.0;
 
     for seed in seeds {
-        let counts = fleet(nodes, seed).run(Duration::from_secs(4), 0.6 * LIMIT.rate);
+        let counts = fleet(nodes, LIMIT, seed).run(Duration::from_secs(4), 0.6 * LIMIT.rate);
 
         refused += counts.refused;
         made += counts.made;
@@ -184,7 +193,16 @@
 // nodes that it does not use.
 #[rstest]
 fn nearly_idle_team_is_served(#[values(10, 100, 1000)] nodes: usize) {
-    let counts = fleet(nodes, 1).run(Duration::from_secs(60), 0.1 * LIMIT.rate);
+    let counts = fleet(nodes, LIMIT, 1).run(Duration::from_secs(60), 0.1 * LIMIT.rate);
 
     assert!(counts.refused_ratio() <= 0.001, "{counts:?}");
 }
+
+// Guards against a team that can use only a part of its rate, because tokens on their way to
+// the nodes count towards a small burst.
+#[rstest]
+fn small_burst_leaves_the_rate_usable(#[values(10, 100, 1000)] nodes: usize) {
+    let counts = fleet(nodes, SMALL_BURST, 1).run(Duration::from_secs(20), 0.7 * SMALL_BURST.rate);
+
+    assert!(counts.refused_ratio() <= 0.05, "{counts:?}");
+}
