--- a/crates/policy/src/share/quota.rs
+++ b/crates/policy/src/share/quota.rs
@@ -21,6 +21,9 @@
 /// Fraction of what is free that a new holder gets whatever its demand is.
 const NEW_HOLDER_RATIO: f64 = 0.05;
 
+/// What a new holder gets beyond that, in relation to the demand that it has shown.
+const NEW_HOLDER_HEADROOM: f64 = 1.25;
+
 /// Share that one holder may be using.
 #[derive(Clone, Copy, Debug)]
 struct Holding {
@@ -308,7 +311,7 @@
 /// The largest share of a new holder. One request shows no demand that lasts: a team whose
 /// requests enter at many nodes would have its whole limit leased to the first few of them.
 fn share_of_new_holder(free: lease::Share, demand: f64) -> lease::Share {
-    let shown = (demand - 1.0).max(0.0);
+    let shown = NEW_HOLDER_HEADROOM * (demand - 1.0).max(0.0);
     let shown = lease::Share {
         rate: shown,
         burst: shown,
