Count calls that a target gives up as failed

A call whose caller closes the connection drops its task, so that its failure was never reported; and where the error of the run came first, it counted.

The failure is now reported when the task is dropped, and one that comes after its error takes it back. Failing before: call_that_the_target_gives_up_has_failed, errors_before_the_failed_calls_do_not_count.

--- a/crates/node/src/caller/handler.rs
+++ b/crates/node/src/caller/handler.rs
@@ -8,7 +8,7 @@
 use masticarch_model::{attempt as model, code, ran};
 use masticarch_wire::http::{answer, fault, request};
 
-use super::{attempt, claim, encode, guard, ledger};
+use super::{attempt, claim, encode, guard, ledger, watch};
 use crate::admission::message as call;
 use crate::claims::reservation;
 use crate::gate::{admission, choice, message, report, request as gate};
@@ -56,9 +56,10 @@
             }
         };
         let is_call = is_call(&metadata.request.origin);
+        let mut watch = watch::Watch::new(&services.admission, is_call);
         let result = self.serve(metadata, request).await;
-        if is_call && is_failed(&result) {
-            let _ = services.admission.send(call::Message::CallFailed).await;
+        if has_succeeded(&result) {
+            watch.succeed();
         }
         result
     }
@@ -258,10 +259,9 @@
     }
 }
 
-fn is_failed(result: &Result<answer::Answer, Refused>) -> bool {
-    result
-        .as_ref()
-        .map_or(true, |answer| answer.status.is_server_error())
+fn has_succeeded(result: &Result<answer::Answer, Refused>) -> bool {
+    let answer = result.as_ref();
+    answer.is_ok_and(|answer| !answer.status.is_server_error())
 }
 
 /// Asks the gate to admit a new request.
--- a/crates/node/src/caller/mod.rs
+++ b/crates/node/src/caller/mod.rs
@@ -7,3 +7,4 @@
 pub mod handler;
 pub mod ledger;
 pub mod service;
+pub mod watch;
--- a/crates/node/tests/admission.rs
+++ b/crates/node/tests/admission.rs
@@ -6,6 +6,7 @@
 
 use masticarch_model::{code, target};
 use masticarch_node::admission::{entry, message};
+use masticarch_node::caller::watch;
 
 const ANSWERED: message::End = message::End::Answered(Duration::from_millis(10));
 
@@ -211,3 +212,25 @@
     assert!(summaries.iter().all(|summary| summary.call_failed));
     assert!(next.is_ok(), "{next:?}");
 }
+
+// Guards against a target that is left out because it gives up calls that are not answered.
+#[test]
+fn call_that_the_target_gives_up_has_failed() {
+    let summaries = fixture::with_admission(true, |admission| async move {
+        let mut summaries = Vec::new();
+        for gives_up in [true, false] {
+            let permit = admission.acquire(fixture::entry(3, false)).await.unwrap();
+            let mut watch = watch::Watch::new(&admission.address, true);
+            if !gives_up {
+                watch.succeed();
+            }
+            drop(watch);
+            let end = message::End::Errored(Duration::from_millis(10));
+            summaries.push(admission.release(&permit, end).await);
+        }
+        summaries
+    });
+
+    let call_failed = summaries.iter().map(|summary| summary.call_failed);
+    assert!(call_failed.eq([true, false]), "{summaries:?}");
+}
--- a/crates/policy/src/outlier/breaker.rs
+++ b/crates/policy/src/outlier/breaker.rs
@@ -60,6 +60,8 @@
     recent_failures: f64,
     /// Failed calls of the target that no error was attributed to yet.
     failed_calls: f64,
+    /// Errors that were attributed to no failed call.
+    unexplained_errors: f64,
     decayed_at: Instant,
     consecutive_failures: u32,
     next_open_time: Duration,
@@ -78,6 +80,7 @@
             recent_requests: 0.0,
             recent_failures: 0.0,
             failed_calls: 0.0,
+            unexplained_errors: 0.0,
             decayed_at: now,
             consecutive_failures: 0,
             next_open_time: MIN_OPEN_TIME,
@@ -124,10 +127,17 @@
         }
     }
 
-    /// Records that a call of the target has failed elsewhere.
+    /// Records that a call of the target has failed elsewhere. The error that it causes may
+    /// have been recorded before.
     pub fn record_failed_call(&mut self, now: Instant) {
         self.decay(now);
-        self.failed_calls = (self.failed_calls + 1.0).min(MAX_FAILED_CALLS);
+        if self.unexplained_errors >= 0.5 {
+            self.unexplained_errors = (self.unexplained_errors - 1.0).max(0.0);
+            self.recent_failures = (self.recent_failures - 1.0).max(0.0);
+            self.consecutive_failures = self.consecutive_failures.saturating_sub(1);
+        } else {
+            self.failed_calls = (self.failed_calls + 1.0).min(MAX_FAILED_CALLS);
+        }
     }
 
     /// Records the end of a request. Returns whether an error was attributed to a failed
@@ -143,7 +153,11 @@
                 self.silent_since = now;
                 self.end_probe();
             }
-            Outcome::Error | Outcome::Failure => self.record_failure(now),
+            Outcome::Error => {
+                self.unexplained_errors += 1.0;
+                self.record_failure(now);
+            }
+            Outcome::Failure => self.record_failure(now),
         }
         is_excused
     }
@@ -189,6 +203,7 @@
         self.next_open_time = (self.next_open_time * 2).min(MAX_OPEN_TIME);
         self.recent_requests = 0.0;
         self.recent_failures = 0.0;
+        self.unexplained_errors = 0.0;
         self.consecutive_failures = 0;
     }
 
@@ -212,6 +227,7 @@
         self.recent_requests *= factor;
         self.recent_failures *= factor;
         self.failed_calls *= factor;
+        self.unexplained_errors *= factor;
         self.decayed_at = now;
     }
 }
--- a/crates/policy/tests/breaker.rs
+++ b/crates/policy/tests/breaker.rs
@@ -103,6 +103,23 @@
     assert!(!breaker.is_open());
 }
 
+// Guards against a target that is left out because its errors arrive before the ends of the
+// calls that cause them.
+#[test]
+fn errors_before_the_failed_calls_do_not_count() {
+    let now = Instant::now();
+    let mut breaker = Breaker::new(now);
+
+    for number in 0..100 {
+        let now = now + number * REQUEST_INTERVAL;
+        breaker.record_start(now);
+        breaker.record_end(Outcome::Error, now);
+        breaker.record_failed_call(now);
+    }
+
+    assert!(!breaker.is_open());
+}
+
 // Guards against requests to a target that answers nothing, and against one that is taken
 // for silent while it has nothing to answer.
 #[test]
