--- a/crates/node/src/target/instance.rs
+++ b/crates/node/src/target/instance.rs
@@ -28,7 +28,7 @@
     }
 
     /// Whether the run can have started by `now`, if the clocks of target and node differ by
-    /// less than [`MAX_CLOCK_DIFFERENCE`]. Any later start would make all announcements of
+    /// less than a day. Any later start would make all announcements of
     /// other runs outdated.
     #[must_use]
     pub fn may_have_started(&self, now: SystemTime) -> bool {
