Wait longer for the first answer of a target

Before its first answer nothing is known of a target's service time, and a service whose requests take more than a second would have its first targets left out: on a route without retries the requests after the first would be refused. The breaker now waits for 10 s until then. Failing before: target_is_not_silent_before_its_service_time_is_known.

--- a/crates/node/src/admission/local.rs
+++ b/crates/node/src/admission/local.rs
@@ -30,6 +30,8 @@
 const MIN_SILENCE: Duration = Duration::from_secs(1);
 /// That time in mean service times of the slowest route.
 const SILENCE_FACTOR: u32 = 4;
+/// That time while no service time is known.
+const UNKNOWN_SILENCE: Duration = Duration::from_secs(10);
 
 /// A target beside this node, with its concurrency limiter `L`, its rate limit, its queue
 /// and its level of load shedding.
@@ -130,8 +132,7 @@
 
     /// Whether the target may get a request, as far as its failures are concerned.
     pub fn is_sound(&mut self, now: Instant) -> bool {
-        let longest = self.service_times.longest();
-        let patience = longest.saturating_mul(SILENCE_FACTOR).max(MIN_SILENCE);
+        let patience = self.patience();
         let was_open = self.breaker.is_open();
         let admits = self.breaker.admits(patience, now);
         if !was_open && self.breaker.is_open() {
@@ -140,6 +141,15 @@
         admits
     }
 
+    /// Time without any answer after which the target counts as failed.
+    fn patience(&self) -> Duration {
+        let longest = self.service_times.longest();
+        if longest.is_zero() {
+            return UNKNOWN_SILENCE;
+        }
+        longest.saturating_mul(SILENCE_FACTOR).max(MIN_SILENCE)
+    }
+
     /// Records that a call of the target has failed.
     pub fn record_failed_call(&mut self, now: Instant) {
         self.breaker.record_failed_call(now);
--- a/crates/node/tests/admission.rs
+++ b/crates/node/tests/admission.rs
@@ -234,3 +234,17 @@
     let call_failed = summaries.iter().map(|summary| summary.call_failed);
     assert!(call_failed.eq([true, false]), "{summaries:?}");
 }
+
+// Guards against a slow target that is left out before its first answer.
+#[test]
+fn target_is_not_silent_before_its_service_time_is_known() {
+    let second = fixture::with_admission(true, |admission| async move {
+        let first = admission.acquire(fixture::entry_of("slow", 5000)).await;
+        monoio::time::sleep(Duration::from_millis(1200)).await;
+        let second = admission.acquire(fixture::entry_of("slow", 5000)).await;
+        drop(first);
+        second
+    });
+
+    assert!(second.is_ok(), "{second:?}");
+}
