--- a/review/build.sh
+++ b/review/build.sh
@@ -4,6 +4,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for name in drain limit; do
+for name in drain restart_drain limit; do
     rustc --edition 2021 -O -o "target/review/$name" "review/harness/$name.rs"
 done
