--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -7,6 +7,7 @@
 //! out. It does no I/O, reads no clock and has no source of randomness of its own.
 
 mod assembly;
+mod bound;
 pub mod change;
 pub mod confirmation;
 pub mod effects;
@@ -29,6 +30,7 @@
 pub mod role;
 mod rounds;
 pub mod sequence;
+mod slot;
 pub mod snapshot;
 mod state;
 pub mod status;
--- a/crates/agreement/src/log.rs
+++ b/crates/agreement/src/log.rs
@@ -1,8 +1,9 @@
 //! The replicated log in memory.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 
-use crate::{entry, index, membership, payload, position, recovered, snapshot, term};
+use crate::{bound, entry, index, membership, payload, position, recovered, slot, snapshot, term};
 
 /// A membership and the index from which it is in effect.
 #[derive(Debug)]
@@ -17,7 +18,9 @@
 pub struct Log {
     /// Position before the first entry in memory.
     base: position::Position,
-    entries: VecDeque<entry::Entry>,
+    slots: VecDeque<slot::Slot>,
+    /// [`slot::Slot::end`] of the entry at `base`.
+    base_end: u64,
     /// In the order of their indices; never empty.
     memberships: Vec<MembershipEntry>,
     snapshot: snapshot::Snapshot,
@@ -45,7 +48,8 @@
         let base = snapshot.meta.position;
         Self {
             base,
-            entries: VecDeque::new(),
+            slots: VecDeque::new(),
+            base_end: 0,
             memberships: vec![MembershipEntry {
                 index: base.index,
                 membership: snapshot.meta.membership.clone(),
@@ -59,7 +63,8 @@
 
     /// Position of the last entry.
     pub fn last(&self) -> position::Position {
-        self.entries.back().map_or(self.base, |last| last.position)
+        let last = self.slots.back();
+        last.map_or(self.base, |last| last.entry.position)
     }
 
     /// The newest snapshot.
@@ -98,8 +103,7 @@
 
     /// The entry at an index, if it is in memory.
     pub fn get(&self, index: index::Index) -> Option<&entry::Entry> {
-        let offset = index.0.checked_sub(self.base.index.0 + 1)?;
-        self.entries.get(usize::try_from(offset).ok()?)
+        self.slot(index).map(|slot| &slot.entry)
     }
 
     /// Entries from an index on, up to a size in bytes, but at least one if there
@@ -139,13 +143,14 @@
                 membership: membership.clone(),
             });
         }
-        self.entries.push_back(entry);
+        let end = self.end() + entry.payload.size() as u64;
+        self.slots.push_back(slot::Slot { entry, end });
     }
 
     /// Removes the entries from an index on.
     pub fn truncate(&mut self, from: index::Index) {
         let kept = from.0.saturating_sub(self.base.index.0 + 1);
-        self.entries.truncate(usize::try_from(kept).unwrap_or(0));
+        self.slots.truncate(usize::try_from(kept).unwrap_or(0));
         self.memberships
             .retain(|entry| entry.index < from || entry.index <= self.base.index);
         self.durable = self.durable.min(from.previous());
@@ -157,10 +162,15 @@
         self.durable = self.durable.max(index).min(self.last().index);
     }
 
-    /// Takes a snapshot of the caller's state at a committed index, and drops
-    /// all but `retained` of the entries that it covers. Returns false when the
-    /// index is not newer than the present snapshot.
-    pub fn compact(&mut self, index: index::Index, data: &[u8], retained: u64) -> bool {
+    /// Takes a snapshot of the caller's state at a committed index, and drops the
+    /// entries that it covers, except the last ones within `retained`. Returns false
+    /// when the index is not newer than the present snapshot.
+    pub fn compact(
+        &mut self,
+        index: index::Index,
+        data: Arc<[u8]>,
+        retained: bound::Bound,
+    ) -> bool {
         let Some(term) = self.term_at(index) else {
             return false;
         };
@@ -171,9 +181,8 @@
             position: position::Position { term, index },
             membership: self.membership_at(index).clone(),
         };
-        let data = data.into();
         self.snapshot = snapshot::Snapshot { meta, data };
-        self.drop_up_to(index::Index(index.0.saturating_sub(retained)));
+        self.drop_up_to(self.last_dropped(index, retained));
         true
     }
 
@@ -212,6 +221,38 @@
         self.first_unwritten = self.first_unwritten.min(from);
     }
 
+    fn slot(&self, index: index::Index) -> Option<&slot::Slot> {
+        let offset = index.0.checked_sub(self.base.index.0 + 1)?;
+        self.slots.get(usize::try_from(offset).ok()?)
+    }
+
+    /// [`slot::Slot::end`] of the last entry.
+    fn end(&self) -> u64 {
+        self.slots.back().map_or(self.base_end, |last| last.end)
+    }
+
+    /// [`slot::Slot::end`] of the entry at an index, or of the nearest one in memory.
+    fn end_at(&self, index: index::Index) -> u64 {
+        if index <= self.base.index {
+            return self.base_end;
+        }
+        self.slot(index).map_or(self.end(), |slot| slot.end)
+    }
+
+    /// The last index to drop if the entries after it up to a snapshot are to stay
+    /// within a bound.
+    fn last_dropped(&self, snapshot: index::Index, retained: bound::Bound) -> index::Index {
+        let by_number = index::Index(snapshot.0.saturating_sub(retained.entries));
+        let end = self.end_at(snapshot);
+        let exceeds = |from: u64| from + retained.bytes < end;
+        let mut by_size = self.base.index;
+        if exceeds(self.base_end) {
+            let dropped = self.slots.partition_point(|slot| exceeds(slot.end));
+            by_size = index::Index(by_size.0 + dropped as u64 + 1);
+        }
+        by_number.max(by_size).min(snapshot)
+    }
+
     fn membership_at(&self, at: index::Index) -> &membership::Membership {
         let mut earlier = self.memberships.iter().rev();
         let found = earlier.find(|entry| entry.index <= at);
@@ -224,7 +265,8 @@
         };
         let membership = self.membership_at(index).clone();
         let dropped = index.0 - self.base.index.0;
-        self.entries.drain(..usize::try_from(dropped).unwrap_or(0));
+        self.base_end = self.end_at(index);
+        self.slots.drain(..usize::try_from(dropped).unwrap_or(0));
         self.memberships.retain(|entry| entry.index > index);
         self.memberships
             .insert(0, MembershipEntry { index, membership });
--- a/crates/agreement/src/options.rs
+++ b/crates/agreement/src/options.rs
@@ -42,6 +42,10 @@
     /// a member slightly behind needs no snapshot.
     #[builder(default = 4096)]
     pub retained_entries: u64,
+    /// Largest size in bytes of the entries that are kept so. Entries hold whole
+    /// configurations, so a number of them does not bound the memory.
+    #[builder(default = 16 << 20)]
+    pub retained_bytes: u64,
     /// How many entries a learner may lack when it is given a vote.
     #[builder(default = 100)]
     pub max_promotion_lag: u64,
--- a/crates/agreement/src/payload.rs
+++ b/crates/agreement/src/payload.rs
@@ -1,5 +1,7 @@
 //! What an entry carries.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
 use crate::membership;
@@ -9,8 +11,8 @@
 pub enum Payload {
     /// First entry of a leader; once it is committed, so is all before it.
     Empty,
-    /// A command of the caller, opaque to this crate.
-    Command(Vec<u8>),
+    /// A command of the caller, opaque to this crate. Copies of an entry share it.
+    Command(Arc<[u8]>),
     /// The members of the group from this entry on.
     Members(membership::Membership),
 }
--- a/crates/agreement/src/raft/mod.rs
+++ b/crates/agreement/src/raft/mod.rs
@@ -5,14 +5,15 @@
 mod join;
 mod leading;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use masticarch_model::member;
 
 use crate::{
-    assembly, change, confirmation, effects, entry, index, log, membership, message, options,
-    outbox, payload, peer, position, random, recovered, refusal, role, rounds, sequence, snapshot,
-    state, status, term, vote, write,
+    assembly, bound, change, confirmation, effects, entry, index, log, membership, message,
+    options, outbox, payload, peer, position, random, recovered, refusal, role, rounds, sequence,
+    snapshot, state, status, term, vote, write,
 };
 
 /// The consensus state of one member.
@@ -132,12 +133,15 @@
     ///
     /// # Errors
     /// [`refusal::Refusal::NotLeader`] or [`refusal::Refusal::Busy`].
-    pub fn propose(&mut self, command: Vec<u8>) -> Result<position::Position, refusal::Refusal> {
+    pub fn propose(
+        &mut self,
+        command: impl Into<Arc<[u8]>>,
+    ) -> Result<position::Position, refusal::Refusal> {
         self.require_leader()?;
         if self.log.last().index.0 - self.commit_index.0 >= self.options.max_uncommitted_entries {
             return Err(refusal::Refusal::Busy);
         }
-        Ok(self.append_entry(payload::Payload::Command(command)))
+        Ok(self.append_entry(payload::Payload::Command(command.into())))
     }
 
     /// Appends a change of members, if this member leads. It is in effect from
@@ -209,9 +213,13 @@
     /// Takes a snapshot of the caller's state, which must include exactly the
     /// entries up to `index`. Returns false when `index` was not handed out
     /// yet, or is not newer than the present snapshot.
-    pub fn compact(&mut self, index: index::Index, data: &[u8]) -> bool {
+    pub fn compact(&mut self, index: index::Index, data: Arc<[u8]>) -> bool {
         let known = index <= self.last_emitted;
-        let taken = known && self.log.compact(index, data, self.options.retained_entries);
+        let retention = bound::Bound {
+            entries: self.options.retained_entries,
+            bytes: self.options.retained_bytes,
+        };
+        let taken = known && self.log.compact(index, data, retention);
         if taken {
             self.snapshot_dirty = true;
             self.outbox.mark_dirty();
--- a/crates/agreement/tests/rules.rs
+++ b/crates/agreement/tests/rules.rs
@@ -35,7 +35,7 @@
 }
 
 fn entry(term: u64, index: u64) -> entry::Entry {
-    let payload = payload::Payload::Command(vec![u8::try_from(term).unwrap()]);
+    let payload = payload::Payload::Command([u8::try_from(term).unwrap()].into());
     let position = at(term, index);
     entry::Entry { position, payload }
 }
@@ -296,7 +296,7 @@
         }
         receive(&mut leader, LEFT, 4, appended(index));
         leader.take_effects();
-        assert!(leader.compact(index::Index(index), b"state"));
+        assert!(leader.compact(index::Index(index), b"state"[..].into()));
         if index == 4 {
             persist(&mut leader);
             receive(&mut leader, RIGHT, 4, appended(3));
@@ -379,3 +379,32 @@
     assert_eq!(early, []);
     assert_eq!(later, [entry(3, 3)]);
 }
+
+// Guards against entries that a snapshot covers and that stay in memory whatever their
+// size: some thousand entries with whole configurations exceed the memory.
+#[test]
+fn covered_entries_are_kept_up_to_a_size() {
+    let options = options::Options::builder().retained_bytes(100).build();
+    let mut leader = leader_from(member_with(options));
+    for _ in 0..10 {
+        leader.propose(vec![7; 40]).unwrap();
+    }
+    persist(&mut leader);
+    receive(&mut leader, LEFT, 4, appended(13));
+    leader.take_effects();
+
+    let taken = leader.compact(index::Index(13), b"state"[..].into());
+    let rejection = message::Body::Rejected {
+        previous: index::Index(2),
+        last: index::Index(0),
+    };
+    receive(&mut leader, RIGHT, 4, rejection);
+    let sent = replies(leader.take_effects());
+
+    assert!(taken);
+    assert!(
+        sent.iter()
+            .any(|body| matches!(body, message::Body::Chunk { .. })),
+        "a member that lacks more than the kept entries needs the snapshot: {sent:?}"
+    );
+}
--- a/crates/agreement/tests/support/history.rs
+++ b/crates/agreement/tests/support/history.rs
@@ -65,7 +65,7 @@
 }
 
 /// The command that an entry carries.
-pub fn command(entry: &entry::Entry) -> Option<&Vec<u8>> {
+pub fn command(entry: &entry::Entry) -> Option<&[u8]> {
     match &entry.payload {
         payload::Payload::Command(bytes) => Some(bytes),
         _ => None,
--- a/crates/agreement/tests/support/mod.rs
+++ b/crates/agreement/tests/support/mod.rs
@@ -321,7 +321,7 @@
         }
         if self.random.percent(2) {
             let (index, state) = self.members[&id].state();
-            self.input(id, |raft, _| raft.compact(index, &state));
+            self.input(id, |raft, _| raft.compact(index, state.into()));
         }
         if self.random.percent(5) {
             self.repair_membership();
--- a/crates/control/src/agreement/event.rs
+++ b/crates/control/src/agreement/event.rs
@@ -1,6 +1,7 @@
 //! Events that the log sends to the replicated state machine.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use masticarch_kernel::reply;
 
@@ -10,7 +11,7 @@
     /// Index of the last entry that the state contains.
     pub index: u64,
     /// Encoding chosen by the state machine; empty for the initial state.
-    pub bytes: Vec<u8>,
+    pub bytes: Arc<[u8]>,
 }
 
 /// Whether a member leads the group, and whether it is the first to do so.
@@ -38,7 +39,7 @@
 pub enum Event {
     /// The entry at this index is committed; an entry without bytes holds no
     /// command. Sent in log order, without gaps.
-    Committed(u64, Vec<u8>),
+    Committed(u64, Arc<[u8]>),
     /// An entry with the group's members, given by their addresses, is committed
     /// at this index. Part of the same sequence as [`Self::Committed`].
     Members(u64, Vec<SocketAddr>),
--- a/crates/control/src/agreement/service.rs
+++ b/crates/control/src/agreement/service.rs
@@ -2,6 +2,7 @@
 //! finished writes to the state and carries out the effects.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use futures::channel::oneshot;
@@ -21,6 +22,9 @@
 /// Entries between snapshots. It bounds the number of entries that a restart has
 /// to apply.
 const SNAPSHOT_ENTRIES: u64 = 4096;
+/// Size in bytes of the entries between snapshots, unless the state itself is larger.
+/// It bounds what a restart has to read, and how much of the log is kept in memory.
+const SNAPSHOT_BYTES: usize = 16 << 20;
 /// Time after which a silent voter is removed in favour of a process that waits to
 /// become a voter.
 const SILENT_VOTER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -65,6 +69,11 @@
     /// Index of the newest snapshot, or `sent` at the last failure to take one. The
     /// next snapshot is due [`SNAPSHOT_ENTRIES`] later.
     snapshot_index: index::Index,
+    /// Size in bytes of the newest snapshot.
+    snapshot_bytes: usize,
+    /// Size in bytes of the commands that were sent to the state machine since the
+    /// last snapshot was requested or installed.
+    sent_bytes: usize,
     /// The snapshot that was requested from the state machine.
     snapshot: Option<oneshot::Receiver<Option<event::Snapshot>>>,
     /// Term that this member leads, as last reported to the state machine.
@@ -95,6 +104,7 @@
     ) -> Self {
         let recovered = std::mem::take(&mut journal.recovered);
         let snapshot_index = recovered.snapshot.meta.position.index;
+        let snapshot_bytes = recovered.snapshot.data.len();
         let id = options.id;
         let raft_options = raft_options::Options::default();
         let random = Random(fastrand::Rng::new());
@@ -111,6 +121,8 @@
             pending: pending::Pending::default(),
             sent: index::Index(0),
             snapshot_index,
+            snapshot_bytes,
+            sent_bytes: 0,
             snapshot: None,
             leading: None,
             caught_up: None,
@@ -320,7 +332,8 @@
         };
         let index = index::Index(taken.index);
         self.snapshot_index = self.snapshot_index.max(index);
-        self.raft.compact(index, &taken.bytes);
+        self.snapshot_bytes = taken.bytes.len();
+        self.raft.compact(index, taken.bytes);
     }
 
     /// Carries out the effects of the inputs: writes, messages, events and replies.
@@ -402,7 +415,9 @@
         self.pending.fail_covered(index);
         self.sent = index;
         self.snapshot_index = index;
-        let bytes = installed.data.to_vec();
+        let bytes = installed.data;
+        self.snapshot_bytes = bytes.len();
+        self.sent_bytes = 0;
         let index = index.0;
         self.notify(event::Event::Install(event::Snapshot { index, bytes }))
             .await
@@ -412,8 +427,11 @@
         let position = entry.position;
         let index = position.index.0;
         let event = match entry.payload {
-            payload::Payload::Command(command) => event::Event::Committed(index, command),
-            payload::Payload::Empty => event::Event::Committed(index, Vec::new()),
+            payload::Payload::Command(command) => {
+                self.sent_bytes += command.len();
+                event::Event::Committed(index, command)
+            }
+            payload::Payload::Empty => event::Event::Committed(index, Arc::default()),
             payload::Payload::Members(members) => {
                 let addresses = members.iter().map(|member| member.address);
                 event::Event::Members(index, addresses.collect())
@@ -430,10 +448,12 @@
     }
 
     async fn request_snapshot(&mut self) -> Result<(), error::Error> {
-        let due = self.sent.0 >= self.snapshot_index.0 + SNAPSHOT_ENTRIES;
+        let due = self.sent.0 >= self.snapshot_index.0 + SNAPSHOT_ENTRIES
+            || self.sent_bytes >= SNAPSHOT_BYTES.max(self.snapshot_bytes);
         if !due || self.snapshot.is_some() {
             return Ok(());
         }
+        self.sent_bytes = 0;
         let (reply, taken) = reply::Reply::new();
         self.snapshot = Some(taken);
         self.notify(event::Event::TakeSnapshot(reply)).await
--- a/crates/control/src/journal.rs
+++ b/crates/control/src/journal.rs
@@ -5,6 +5,7 @@
 //! only.
 
 use std::io;
+use std::sync::Arc;
 
 use futures::channel::mpsc::UnboundedReceiver;
 use masticarch_agreement::{
@@ -63,7 +64,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct Stored {
     meta: raft_snapshot::Meta,
-    data: Vec<u8>,
+    data: Arc<[u8]>,
 }
 
 /// An open data directory: its recovered state, and the thread that writes to it.
@@ -93,7 +94,8 @@
         if found != options.id {
             return Err(Error::Identity(found));
         }
-        let recovered = decode(&contents)?;
+        log_sizes(&contents);
+        let recovered = decode(contents)?;
         let (writer, completions) = writer::Writer::start(store)?;
         Ok(Self {
             recovered,
@@ -161,7 +163,7 @@
 fn encode_snapshot(snapshot: &raft_snapshot::Snapshot) -> snapshot::Snapshot {
     let stored = Stored {
         meta: snapshot.meta.clone(),
-        data: snapshot.data.to_vec(),
+        data: Arc::clone(&snapshot.data),
     };
     snapshot::Snapshot {
         index: snapshot.meta.position.index.0,
@@ -169,17 +171,29 @@
     }
 }
 
-fn decode(contents: &contents::Contents) -> Result<recovered::Recovered, Error> {
+fn log_sizes(contents: &contents::Contents) {
+    let sizes = contents.entries.iter().map(|entry| entry.payload.len());
+    tracing::info!(
+        entries = contents.entries.len(),
+        entry_bytes = sizes.sum::<usize>(),
+        snapshot_bytes = contents.snapshot.payload.len(),
+        "data directory read"
+    );
+}
+
+/// Decodes the contents of the data directory. Each entry is freed once it is
+/// decoded, so that the log is in memory only once.
+fn decode(contents: contents::Contents) -> Result<recovered::Recovered, Error> {
     let vote = contents.vote.as_deref().map(wire::decode).transpose()?;
     let stored: Stored = wire::decode(&contents.snapshot.payload)?;
-    let decode_entry = |entry: &entry::Entry| wire::decode(&entry.payload);
-    let entries = contents.entries.iter().map(decode_entry);
+    let decode_entry = |entry: entry::Entry| wire::decode(&entry.payload);
+    let entries = contents.entries.into_iter().map(decode_entry);
     Ok(recovered::Recovered {
         vote: vote.unwrap_or_default(),
         snapshot: raft_snapshot::Snapshot {
             meta: stored.meta,
-            data: stored.data.into(),
+            data: stored.data,
         },
-        entries: entries.collect::<Result<_, _>>()?,
+        entries: entries.collect::<Result<Vec<_>, _>>()?,
     })
 }
--- a/crates/control/src/registry/message.rs
+++ b/crates/control/src/registry/message.rs
@@ -1,6 +1,7 @@
 //! Messages to the registry from the log and from other services.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use masticarch_kernel::reply;
 use masticarch_model::{
@@ -14,7 +15,7 @@
 #[derive(Debug)]
 pub enum Message {
     /// See [`event::Event::Committed`].
-    Committed(u64, Vec<u8>),
+    Committed(u64, Arc<[u8]>),
     /// See [`event::Event::Members`].
     Members(u64, Vec<SocketAddr>),
     /// Replaces the catalog.
--- a/crates/control/src/registry/service.rs
+++ b/crates/control/src/registry/service.rs
@@ -175,7 +175,8 @@
             _ => None,
         };
         let before = before.map(|entry| entry.node.incarnation);
-        let relevant = command.clone().filter(affects_holders);
+        let relevant = command.as_ref().filter(|command| affects_holders(command));
+        let relevant = relevant.cloned();
         self.apply(index, command);
         let Some(command) = relevant else { return };
         let change = holders::change(&command, before, &self.catalog);
@@ -237,7 +238,7 @@
         );
         Some(log::Snapshot {
             index: self.catalog.version().0,
-            bytes: bytes.ok()?,
+            bytes: bytes.ok()?.into(),
         })
     }
 
--- a/crates/control/tests/group/mod.rs
+++ b/crates/control/tests/group/mod.rs
@@ -1,4 +1,5 @@
 //! Members of a control group in one process, on real data directories.
+#![allow(dead_code, reason = "each test file uses a part of the fixtures")]
 
 use std::cell::RefCell;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -15,10 +16,12 @@
 
 const SERVICE: name::Name = name::Name::new("agreement");
 
-/// The replicated state: the bytes of all commands, in log order.
+/// The replicated state: the bytes of the commands, in log order.
 #[derive(Default)]
 pub struct State {
     pub index: u64,
+    /// Number of bytes that are kept, the last ones; `None` keeps all.
+    pub kept: Option<usize>,
     pub commands: Vec<u8>,
     pub installs: usize,
     pub leads: bool,
@@ -73,10 +76,15 @@
 
     /// Starts a member.
     pub fn start(&mut self, options: &options::Options) {
+        self.start_with(options, State::default());
+    }
+
+    /// Starts a member with a state machine in this state.
+    pub fn start_with(&mut self, options: &options::Options, state: State) {
         let journal = journal::Journal::open(options).unwrap();
         let (address, mailbox) = mailbox::Mailbox::new(1024);
         let (state_machine, events) = mailbox::Mailbox::new(1024);
-        let state = Rc::new(RefCell::new(State::default()));
+        let state = Rc::new(RefCell::new(state));
         task::spawn(SERVICE, apply_events(events, Rc::clone(&state)));
         let outbound = self.outbound.clone();
         let (failure_sender, _) = stop::Stop::new();
@@ -199,18 +207,21 @@
             event::Event::Committed(index, command) => {
                 assert_eq!(index, state.index + 1, "a gap in the log");
                 state.index = index;
-                state.commands.extend(command);
+                state.commands.extend_from_slice(&command);
+                let kept = state.kept.unwrap_or(usize::MAX);
+                let dropped = state.commands.len().saturating_sub(kept);
+                state.commands.drain(..dropped);
             }
             event::Event::Members(index, _) => state.index = index,
             event::Event::Install(snapshot) => {
                 state.index = snapshot.index;
-                state.commands = snapshot.bytes;
+                state.commands = snapshot.bytes.to_vec();
                 state.installs += 1;
             }
             event::Event::TakeSnapshot(reply) => {
                 let snapshot = event::Snapshot {
                     index: state.index,
-                    bytes: state.commands.clone(),
+                    bytes: state.commands.clone().into(),
                 };
                 let _ = reply.send(Some(snapshot));
             }
--- a/crates/store/src/replay.rs
+++ b/crates/store/src/replay.rs
@@ -48,8 +48,8 @@
     }
 
     /// Appends an entry. Entries may be missing only where the snapshot covers
-    /// them.
-    fn push(&mut self, entry: entry::Entry) -> Result<(), &'static str> {
+    /// them; of those that it covers, only the index is kept.
+    fn push(&mut self, mut entry: entry::Entry) -> Result<(), &'static str> {
         let last = self.entries.back().map(|last| last.index);
         let follows = last.is_some_and(|last| entry.index == last + 1);
         if !follows {
@@ -59,6 +59,9 @@
             }
             self.entries.clear();
         }
+        if entry.index <= self.snapshot_index {
+            entry.payload = Vec::new();
+        }
         self.entries.push_back(entry);
         Ok(())
     }
