Bound the entries in flight to a member by their size

Cause: the window of a member that is behind counted entries (4,096), not bytes, so that the whole log was copied, encoded and queued at once.

Ruled out: entries that are sent again and again; the leader ended 0.2 s after the change of members, in the first round. The new line "large messages queued for a member" shows which of the two it is.

Change: no batch is begun while 4 MiB are in flight to a member.

Test: unacknowledged_entries_are_bounded_by_their_size failed before with 4040 bytes in flight (bound 140).

--- a/crates/agreement/src/leader.rs
+++ b/crates/agreement/src/leader.rs
@@ -191,12 +191,21 @@
     /// Sends batches of entries until the member's window is full.
     fn send_entries(&mut self, member: &mut progress::Progress) {
         let last = self.log.last().index;
-        let limit = member.matched.0 + self.options.window_entries;
-        while member.next <= last && member.next.0 <= limit {
+        while member.next <= last && self.has_room(member) {
             member.next = self.send_batch(member);
         }
     }
 
+    /// Whether the entries in flight to a member leave room for another batch. Each of
+    /// them is encoded and queued for its connection, so their size counts as well as
+    /// their number.
+    fn has_room(&self, member: &progress::Progress) -> bool {
+        let sent = member.next.previous();
+        let entries = sent.0.saturating_sub(member.matched.0);
+        let bytes = self.log.bytes_between(member.matched, sent);
+        entries < self.options.window_entries && bytes < self.options.window_bytes
+    }
+
     /// Sends an append without entries, to learn whether the member has the entry
     /// before its next one.
     fn send_probe(&mut self, member: &progress::Progress) {
--- a/crates/agreement/src/log.rs
+++ b/crates/agreement/src/log.rs
@@ -106,6 +106,12 @@
         self.slot(index).map(|slot| &slot.entry)
     }
 
+    /// Size in bytes of the entries after one index up to another, as far as they
+    /// are in memory.
+    pub fn bytes_between(&self, after: index::Index, to: index::Index) -> u64 {
+        self.end_at(to).saturating_sub(self.end_at(after))
+    }
+
     /// Entries from an index on, up to a size in bytes, but at least one if there
     /// is any.
     pub fn entries_from(&self, from: index::Index, bytes: usize) -> Vec<entry::Entry> {
--- a/crates/agreement/src/options.rs
+++ b/crates/agreement/src/options.rs
@@ -30,6 +30,10 @@
     /// Largest number of entries sent to a member but not acknowledged by it.
     #[builder(default = 4096)]
     pub window_entries: u64,
+    /// Largest size in bytes of the entries sent to a member but not acknowledged by
+    /// it. Beyond it no batch is begun, so that up to one batch more may be in flight.
+    #[builder(default = 4 << 20)]
+    pub window_bytes: u64,
     /// Largest number of entries that wait for a majority; beyond it, proposals
     /// are refused.
     #[builder(default = 16_384)]
--- a/crates/agreement/tests/rules.rs
+++ b/crates/agreement/tests/rules.rs
@@ -408,3 +408,43 @@
         "a member that lacks more than the kept entries needs the snapshot: {sent:?}"
     );
 }
+
+// Guards against a leader that sends its whole log to an emptied member at once: with
+// large entries, the messages exceeded the memory of one leader after the other.
+#[test]
+fn unacknowledged_entries_are_bounded_by_their_size() {
+    const ENTRY_BYTES: usize = 40;
+    const WINDOW_BYTES: usize = 100;
+    let options = options::Options::builder()
+        .window_bytes(WINDOW_BYTES as u64)
+        .batch_bytes(ENTRY_BYTES)
+        .build();
+    let mut leader = leader_from(member_with(options));
+    for _ in 0..100 {
+        leader.propose(vec![7; ENTRY_BYTES]).unwrap();
+    }
+    persist(&mut leader);
+
+    let mut last_sent = 0;
+    let mut most = 0;
+    for matched in 2..=103 {
+        receive(&mut leader, RIGHT, 4, appended(matched));
+        let sent = leader.take_effects().messages;
+        let sent = sent.into_iter().filter(|message| message.to == RIGHT);
+        last_sent = sent.map(last_index).fold(last_sent, u64::max);
+        // The first entry of the leader has no command.
+        let in_flight = last_sent.max(3) - matched.max(3);
+        most = most.max(usize::try_from(in_flight).unwrap() * ENTRY_BYTES);
+    }
+
+    assert_eq!(last_sent, 103);
+    assert!(most <= WINDOW_BYTES + ENTRY_BYTES, "{most} bytes in flight");
+}
+
+/// Index of the last entry in a message; 0 when there is none.
+fn last_index(message: message::Message) -> u64 {
+    let message::Body::Append { entries, .. } = message.body else {
+        return 0;
+    };
+    entries.last().map_or(0, |entry| entry.position.index.0)
+}
--- a/crates/control/src/agreement/service.rs
+++ b/crates/control/src/agreement/service.rs
@@ -32,6 +32,9 @@
 /// round.
 const MAX_BATCH_MESSAGES: usize = 256;
 
+/// Size in bytes of the messages to one member in one turn from which on they are logged.
+const LOGGED_BYTES: usize = 1 << 20;
+
 /// Source of randomness for election timeouts, which need not be unpredictable.
 struct Random(fastrand::Rng);
 
@@ -371,17 +374,27 @@
     }
 
     fn send(&self, messages: Vec<raft_message::Message>) {
+        let mut queued = map::Map::<member::Id, usize>::default();
         for message in messages {
             let Some(address) = self.address_of(message.to) else {
                 continue;
             };
             let to = message.to;
-
             let bytes = wire::encode(&envelope::Envelope::Raft(self.address, message));
+            *queued.entry(to).or_default() += bytes.len();
             let outgoing = outgoing::Outgoing { to, address, bytes };
             // A full mailbox counts as a lost message, which Raft sends again.
             let _ = self.outbound.try_send(outgoing.into());
         }
+        for (member, bytes) in queued {
+            if bytes >= LOGGED_BYTES {
+                tracing::info!(
+                    member = member.0,
+                    bytes,
+                    "large messages queued for a member"
+                );
+            }
+        }
     }
 
     /// The address of a member, from the log or else from its own messages.
