Close the connection to a member that is given up

A connection on which a member does not acknowledge in time was dropped, but the task that drives it kept it open, with the messages queued on it, until the other side closed it. While a member is slow, each attempt left up to a window of entries in memory.

--- a/crates/control/src/outbound/peer.rs
+++ b/crates/control/src/outbound/peer.rs
@@ -54,15 +54,16 @@
         mailbox: &mut mailbox::Mailbox<Vec<u8>>,
     ) -> Result<(), error::Error> {
         let role = handshake::Role::Member;
-        let client: member::Client = rpc::connect(self.address, role, &self.credential).await?;
+        let link = rpc::open_link(self.address, role, &self.credential).await?;
+        let client: &member::Client = &link.client;
         let mut in_flight = FuturesUnordered::new();
-        in_flight.push(send(&client, &first));
+        in_flight.push(send(client, &first));
         loop {
             let has_room = in_flight.len() < MAX_IN_FLIGHT;
             futures::select_biased! {
                 outcome = in_flight.select_next_some() => outcome?,
                 message = next(mailbox, has_room).fuse() => match message {
-                    Some(message) => in_flight.push(send(&client, &message)),
+                    Some(message) => in_flight.push(send(client, &message)),
                     None => return Ok(()),
                 },
             }
