Keep exchanges when the probed connection closes

Cause: a node probes one connection for all that it has to another node. When that one closed, all exchanges with the node were ended as silent.

Ruled out: a reset of the requests' own connections; the regression test closes the probed one only, and two requests on others end. New log lines name the node, the reason and the number of exchanges.

Change: a closed or refused probe connection begins another generation for new exchanges, and those in flight go on. Silence is still concluded from a connection that stays unanswered while the node answers on a new one.

Test: reset_of_the_probed_connection_ends_no_request failed before (502 and 504 in place of both answers).

--- a/crates/node/src/links/message.rs
+++ b/crates/node/src/links/message.rs
@@ -50,6 +50,6 @@
     IsProbeDue(SocketAddr, u64, reply::Reply<probe::Due>),
     /// A probe of this generation was answered.
     Alive(SocketAddr, u64),
-    /// A probe of this generation was not answered: no new exchange uses it.
-    Suspect(SocketAddr, u64),
+    /// No new exchange is to use this generation.
+    Retire(SocketAddr, u64),
 }
--- a/crates/node/src/links/probe.rs
+++ b/crates/node/src/links/probe.rs
@@ -9,8 +9,8 @@
 use futures::future::Either;
 use http::{Method, StatusCode, Uri};
 use masticarch_kernel::address;
-use masticarch_wire::handshake;
 use masticarch_wire::http::{budget, connection, request};
+use masticarch_wire::{error, handshake};
 
 use super::{message, open};
 use crate::race;
@@ -36,6 +36,17 @@
     Ended,
 }
 
+/// What a probe shows of a generation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Finding {
+    /// The node has answered on the probed connection.
+    Alive,
+    /// The node answers on a new connection, but not on the probed one.
+    Silent,
+    /// The probed connection has closed, which shows nothing of the others.
+    Closed,
+}
+
 /// One generation of connections to a node, as its probe sees it.
 pub struct Generation {
     /// Peer port of the node.
@@ -48,6 +59,8 @@
     pub links: address::Address<message::Message>,
     /// Held by each exchange on these connections.
     pub in_use: Weak<()>,
+    /// Dropped when a probe was not answered.
+    pub trusted: Option<oneshot::Sender<()>>,
     /// Dropped when the connections are known to be silent.
     pub silent: oneshot::Sender<()>,
 }
@@ -58,55 +71,95 @@
 /// is alive.
 ///
 /// An unanswered probe makes the generation suspect. It is known to be silent when the
-/// node answers on a new connection but not on the probed one, or when that one closes.
-/// Until then the whole node may be silent for a while, and its running work goes on.
-pub async fn run(generation: Generation) {
-    let Generation { peer, number, .. } = generation;
-    let Ok(mut connection) = open::open(peer, &generation.credential).await else {
-        generation.suspect().await;
-        return generation.new_connection_answers().await;
-    };
-    loop {
-        monoio::time::sleep(INTERVAL).await;
-        let is_probe_due = |reply| message::Message::IsProbeDue(peer, number, reply);
-        match generation.links.ask(is_probe_due).await {
-            Ok(Due::Later) => continue,
-            Ok(Due::Ended) if generation.in_use.strong_count() == 0 => return,
-            Ok(Due::Now | Due::Ended) => {}
-            Err(_) => return,
-        }
-        if !generation.is_alive(&mut connection).await {
-            return;
-        }
-        let alive = message::Message::Alive(peer, number);
-        if generation.links.send(alive).await.is_err() {
-            return;
+/// node answers on a new connection but not on the probed one. Until then the whole node
+/// may be silent for a while, and its running work goes on.
+///
+/// When the probed connection closes, new exchanges begin another generation, and those
+/// in flight go on: a connection that was reset says nothing of the others, and the
+/// options of [`masticarch_wire::socket`] end each that has gone silent itself.
+pub async fn run(mut generation: Generation) {
+    match generation.watch().await {
+        Finding::Alive => {}
+        Finding::Silent => tracing::warn!(
+            peer = %generation.peer,
+            exchanges = generation.in_use.strong_count(),
+            "connections to a node have gone silent; the exchanges on them end"
+        ),
+        Finding::Closed => {
+            tracing::info!(
+                peer = %generation.peer,
+                exchanges = generation.in_use.strong_count(),
+                "the probed connection to a node has closed; exchanges on others go on"
+            );
+            generation.retire().await;
+            generation.exchanges_ended().await;
         }
     }
 }
 
 impl Generation {
-    /// Sends a probe and waits until it is known whether the connections are alive.
-    async fn is_alive(&self, connection: &mut message::Connection) -> bool {
-        let mut answer = std::pin::pin!(probe(connection));
-        if let Ok(alive) = monoio::time::timeout(TIMEOUT, answer.as_mut()).await {
-            if !alive {
+    /// Probes the generation until it has ended, is silent or cannot be probed any more.
+    async fn watch(&mut self) -> Finding {
+        let mut connection = match open::open(self.peer, &self.credential).await {
+            Ok(connection) => connection,
+            Err(error::Error::Timeout) => {
                 self.suspect().await;
+                return Finding::Closed;
+            }
+            Err(_) => return Finding::Closed,
+        };
+        loop {
+            monoio::time::sleep(INTERVAL).await;
+            let due = |reply| message::Message::IsProbeDue(self.peer, self.number, reply);
+            match self.links.ask(due).await {
+                Ok(Due::Later) => continue,
+                Ok(Due::Ended) if self.in_use.strong_count() == 0 => return Finding::Alive,
+                Ok(Due::Now | Due::Ended) => {}
+                Err(_) => return Finding::Alive,
             }
-            return alive;
+            let finding = self.check(&mut connection).await;
+            if finding != Finding::Alive {
+                return finding;
+            }
+            let alive = message::Message::Alive(self.peer, self.number);
+            if self.links.send(alive).await.is_err() {
+                return Finding::Alive;
+            }
+        }
+    }
+
+    /// Sends a probe and waits until it is known what it shows.
+    async fn check(&mut self, connection: &mut message::Connection) -> Finding {
+        let mut answer = std::pin::pin!(probe(connection));
+        if let Ok(answered) = monoio::time::timeout(TIMEOUT, answer.as_mut()).await {
+            return finding(answered);
         }
         self.suspect().await;
         match race::race(answer.as_mut(), self.new_connection_answers()).await {
-            Either::Left(alive) => alive,
+            Either::Left(answered) => finding(answered),
             Either::Right(()) => monoio::time::timeout(OVERTAKING_MARGIN, answer)
                 .await
-                .unwrap_or(false),
+                .map_or(Finding::Silent, finding),
         }
     }
 
-    async fn suspect(&self) {
-        let suspect = message::Message::Suspect(self.peer, self.number);
-        let _ = self.links.send(suspect).await;
+    /// Ends the exchanges that another attempt can follow, and keeps new ones away.
+    async fn suspect(&mut self) {
+        self.trusted = None;
+        self.retire().await;
+    }
+
+    /// Keeps new exchanges away from this generation.
+    async fn retire(&self) {
+        let retired = message::Message::Retire(self.peer, self.number);
+        let _ = self.links.send(retired).await;
+    }
+
+    /// Waits until no exchange of this generation is left.
+    async fn exchanges_ended(&self) {
+        while self.in_use.strong_count() > 0 {
+            monoio::time::sleep(INTERVAL).await;
+        }
     }
 
     /// Waits until the node answers a probe on a new connection, or no exchange is left
@@ -123,6 +176,15 @@
     }
 }
 
+const fn finding(answered: bool) -> Finding {
+    if answered {
+        Finding::Alive
+    } else {
+        Finding::Closed
+    }
+}
+
+/// Whether a probe is answered; false when the connection closes.
 async fn probe(connection: &mut message::Connection) -> bool {
     let ping = request::Request::new(Method::GET, Uri::from_static("/ping"), Bytes::new());
     let limits = connection::BodyLimits {
--- a/crates/node/src/links/service.rs
+++ b/crates/node/src/links/service.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use futures::channel::oneshot;
 use futures::future::{self, Either};
 use masticarch_kernel::{address, mailbox, reply, stop, task};
 use masticarch_model::map;
@@ -30,8 +29,6 @@
     in_use: Rc<()>,
     suspect: stop::Stop,
     silent: stop::Stop,
-    // Dropped with the generation. That sets `suspect`.
-    _trusted: oneshot::Sender<()>,
 }
 
 struct Links {
@@ -79,7 +76,7 @@
                     peer.verified = Instant::now();
                 }
             }
-            message::Message::Suspect(address, generation) => {
+            message::Message::Retire(address, generation) => {
                 if self.peer_mut(address, generation).is_some() {
                     self.peers.remove(&address);
                 }
@@ -158,6 +155,7 @@
             credential: self.options.credential.clone(),
             links: self.own.clone(),
             in_use: Rc::downgrade(&in_use),
+            trusted: Some(trusted),
             silent: not_silent,
         };
         drop(task::spawn(name::LINKS, probe::run(generation)));
@@ -169,7 +167,6 @@
             in_use,
             suspect,
             silent,
-            _trusted: trusted,
         }
     }
 }
--- a/crates/node/tests/common/proxy.rs
+++ b/crates/node/tests/common/proxy.rs
@@ -2,11 +2,14 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
+/// Start of a probe between nodes.
+const PROBE: &[u8] = b"GET /ping ";
+
 /// A running proxy.
 pub struct Proxy {
     pub address: SocketAddr,
@@ -15,6 +18,8 @@
     frozen: Arc<AtomicBool>,
     /// Number of open directions, two for each connection.
     open: Arc<AtomicUsize>,
+    /// Client sides of the connections on which a probe was sent.
+    probed: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 /// Starts a proxy at an address that is advertised already, and forwards to `to`.
@@ -25,6 +30,8 @@
     let frozen = Arc::new(AtomicBool::new(false));
     let stopped = frozen.clone();
     let (shared, counted) = (generation.clone(), open.clone());
+    let probed = Arc::<Mutex<Vec<TcpStream>>>::default();
+    let noted = probed.clone();
     thread::spawn(move || {
         for client in listener.incoming().flatten() {
             let Ok(server) = TcpStream::connect(to) else {
@@ -40,13 +47,19 @@
             for (from, to) in directions {
                 let (shared, counted) = (shared.clone(), counted.clone());
                 let stopped = stopped.clone();
+                let noted = noted.clone();
                 counted.fetch_add(1, Ordering::SeqCst);
                 thread::spawn(move || {
                     let passes = || {
                         shared.load(Ordering::SeqCst) == started_in
                             && !stopped.load(Ordering::SeqCst)
                     };
-                    copy(from, to, passes);
+                    let note_probe = |from: &TcpStream, bytes: &[u8]| {
+                        if bytes.windows(PROBE.len()).any(|part| part == PROBE) {
+                            noted.lock().unwrap().push(from.try_clone().unwrap());
+                        }
+                    };
+                    copy(from, to, passes, note_probe);
                     counted.fetch_sub(1, Ordering::SeqCst);
                 });
             }
@@ -57,6 +70,7 @@
         generation,
         frozen,
         open,
+        probed,
     }
 }
 
@@ -78,18 +92,36 @@
         self.frozen.store(frozen, Ordering::SeqCst);
     }
 
+    /// Whether a probe was sent on any connection that has not been closed since.
+    pub fn has_probe(&self) -> bool {
+        !self.probed.lock().unwrap().is_empty()
+    }
+
+    /// Closes the connections on which a probe was sent, and no others.
+    pub fn close_probed(&self) {
+        for connection in self.probed.lock().unwrap().drain(..) {
+            connection.shutdown(std::net::Shutdown::Both).unwrap();
+        }
+    }
+
     /// Stops forwarding on the connections that are open now, without closing them.
     pub fn silence(&self) {
         self.generation.fetch_add(1, Ordering::SeqCst);
     }
 }
 
-fn copy(mut from: TcpStream, mut to: TcpStream, passes: impl Fn() -> bool) {
+fn copy(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    passes: impl Fn() -> bool,
+    inspect: impl Fn(&TcpStream, &[u8]),
+) {
     let mut buffer = [0; 4096];
     while let Ok(count) = from.read(&mut buffer) {
         if count == 0 {
             break;
         }
+        inspect(&from, &buffer[..count]);
         while !passes() {
             thread::sleep(Duration::from_millis(10));
         }
--- a/crates/node/tests/links.rs
+++ b/crates/node/tests/links.rs
@@ -90,3 +90,30 @@
     assert_eq!(target.requests.load(Ordering::SeqCst), 2);
     assert_eq!(target.closed.load(Ordering::SeqCst), 0);
 }
+
+// Guards against a probe whose own idle connection is reset and that then ends the
+// requests on all other connections, among them some that must not be sent again.
+#[test]
+fn reset_of_the_probed_connection_ends_no_request() {
+    let (near, _far, proxy, target) = pair_with(target::Script {
+        delay: Duration::from_millis(1500),
+        ..target::answering(OK)
+    });
+    let caller = near.caller;
+    let paths = ["/guiones", "/alertas"];
+
+    let waiting = paths
+        .map(|path| std::thread::spawn(move || client::exchange(caller, &client::get(path, ""))));
+    while !proxy.has_probe() {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    proxy.close_probed();
+    let answers = waiting.map(|waiting| waiting.join().unwrap());
+
+    assert!(
+        answers.iter().all(|answer| answer.ends_with("hello")),
+        "{answers:?}"
+    );
+    assert_eq!(target.requests.load(Ordering::SeqCst), 2);
+    assert_eq!(target.closed.load(Ordering::SeqCst), 0);
+}
