Remember a withdrawal by the run that it names

Cause: the withdrawn run was taken from the current announcement. Without one the withdrawal was acknowledged and nothing kept.

Ruled out: a run recorded wrongly; the new line "target has withdrawn" says whether a target was known, and what the withdrawal names.

Change: id and start named by the withdrawal are recorded, with or without an announcement. By the start, a late withdrawal of an earlier run under the same id no longer ends the present one. The body of DELETE /targets/{service} takes both.

--- a/crates/node/src/admin/handler.rs
+++ b/crates/node/src/admin/handler.rs
@@ -13,7 +13,7 @@
 use crate::caller::encode;
 use crate::quarantine::message as quarantine;
 use crate::sync::message as sync;
-use crate::target::{announcement, message as target};
+use crate::target::{announcement, message as target, withdrawal};
 use crate::{refusal, services, session};
 
 /// Answers the requests on one connection to the admin port.
@@ -82,7 +82,10 @@
             return refused(code::Code::BadName, "the service has a bad name");
         }
         let message = match request.method {
-            Method::DELETE => target::Message::Withdraw(service, None),
+            Method::DELETE => match read_withdrawal(&request.body) {
+                Ok(withdrawal) => target::Message::Withdraw(service, withdrawal),
+                Err(error) => return refused(code::Code::BadRequest, &error.to_string()),
+            },
             Method::PUT => match serde_json::from_slice(&request.body) {
                 Ok(body) if announcement::Announcement::is_valid(&body, SystemTime::now()) => {
                     target::Message::Announce(service, body)
@@ -121,6 +124,14 @@
     copy.is_some_and(|copy| !copy.draining && copy.age.is_some_and(|age| age < freshness::MAX_AGE))
 }
 
+/// Reads the body of a withdrawal, which may be empty.
+fn read_withdrawal(body: &[u8]) -> serde_json::Result<withdrawal::Withdrawal> {
+    if body.is_empty() {
+        return Ok(withdrawal::Withdrawal::default());
+    }
+    serde_json::from_slice(body)
+}
+
 /// A state as JSON; `None` while the node stops.
 fn json<T: Serialize>(state: Option<&T>) -> answer::Answer {
     let Some(json) = state.and_then(|state| serde_json::to_vec(state).ok()) else {
--- a/crates/node/src/target/message.rs
+++ b/crates/node/src/target/message.rs
@@ -5,17 +5,16 @@
 use masticarch_kernel::reply;
 use masticarch_model::{name, target};
 
-use super::{announcement, pool};
+use super::{announcement, pool, withdrawal};
 
 /// Messages to the service that keeps the local targets.
 #[derive(Debug)]
 pub enum Message {
     /// A target announced itself or renewed its announcement.
     Announce(name::Name, announcement::Announcement),
-    /// A target withdrew its announcement.
-    ///
-    /// A withdrawal with the id of an instance has no effect on another instance.
-    Withdraw(name::Name, Option<Box<str>>),
+    /// A target withdrew its announcement. If the withdrawal names a run, it has no effect
+    /// on another one, and later announcements of that run count no more.
+    Withdraw(name::Name, withdrawal::Withdrawal),
     /// A run of a target has stated that it is leaving: it gets no new requests, whatever
     /// it announces. `None` names a target that does not identify its runs. Has no
     /// effect on another run.
--- a/crates/node/src/target/mod.rs
+++ b/crates/node/src/target/mod.rs
@@ -2,6 +2,7 @@
 //! requests there.
 
 pub mod announcement;
+mod departed;
 pub mod guard;
 pub mod instance;
 pub mod job;
@@ -9,3 +10,4 @@
 pub mod pool;
 pub mod run;
 pub mod service;
+pub mod withdrawal;
--- a/crates/node/src/target/service.rs
+++ b/crates/node/src/target/service.rs
@@ -2,13 +2,13 @@
 //! connections to them.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use futures::future::{self, Either};
 use masticarch_kernel::{address, mailbox, stop};
 use masticarch_model::{map, name, target};
 
-use super::{announcement, instance, message, pool};
+use super::{announcement, departed, message, pool, withdrawal};
 use crate::{admission, quarantine};
 
 /// Default time after which a target that has not renewed its announcement is removed.
@@ -25,8 +25,8 @@
     admission: address::Address<admission::message::Message>,
     quarantine: address::Address<quarantine::message::Message>,
     entries: map::Map<name::Name, Entry>,
-    /// The last instance of each service that has withdrawn.
-    withdrawn: map::Map<name::Name, instance::Instance>,
+    /// The runs of each service that have withdrawn.
+    departed: map::Map<name::Name, departed::Departed>,
     /// The last run of each service that has stated that it is leaving; `None` if the
     /// target does not identify its runs.
     leaving: map::Map<name::Name, Option<Box<str>>>,
@@ -46,7 +46,7 @@
         admission,
         quarantine,
         entries: map::Map::default(),
-        withdrawn: map::Map::default(),
+        departed: map::Map::default(),
         leaving: map::Map::default(),
         expiry,
         pools: map::Map::default(),
@@ -71,7 +71,9 @@
             message::Message::Announce(service, announcement) => {
                 self.announce(service, announcement).await;
             }
-            message::Message::Withdraw(service, id) => self.withdraw(&service, id).await,
+            message::Message::Withdraw(service, withdrawal) => {
+                self.withdraw(&service, withdrawal).await;
+            }
             message::Message::Leaving(service, run, reply) => {
                 self.mark_leaving(service, run).await;
                 let _ = reply.send(());
@@ -174,31 +176,53 @@
         target
     }
 
-    /// Whether an announcement was made before the current one, or its instance started
-    /// no later than one that has withdrawn.
+    /// Whether an announcement was made before the current one, or is of a run that has
+    /// withdrawn.
     fn is_outdated(&self, service: &name::Name, announcement: &announcement::Announcement) -> bool {
         let Some(instance) = &announcement.instance else {
             return false;
         };
         let current = self.entries.get(service);
         let current = current.and_then(|entry| entry.announcement.instance.as_ref());
-        let withdrawn = self.withdrawn.get(service);
+        let departed = self.departed.get(service);
         current.is_some_and(|current| instance.is_before(current))
-            || withdrawn.is_some_and(|withdrawn| instance.started_ms <= withdrawn.started_ms)
+            || departed.is_some_and(|departed| departed.contains(instance))
     }
 
-    async fn withdraw(&mut self, service: &name::Name, id: Option<Box<str>>) {
-        let current = self.entries.get(service);
-        let current = current.and_then(|entry| entry.announcement.instance.clone());
-        let other = |id: &str| current.as_ref().is_some_and(|current| *current.id != *id);
-        if id.as_deref().is_some_and(other) {
+    async fn withdraw(&mut self, service: &name::Name, withdrawal: withdrawal::Withdrawal) {
+        let entry = self.entries.get(service);
+        let is_known = entry.is_some();
+        let current = entry.and_then(|entry| entry.announcement.instance.clone());
+        let is_other = current
+            .as_ref()
+            .is_some_and(|current| withdrawal.is_of_other(current));
+        tracing::info!(%service, ?withdrawal, is_known, is_other, "target has withdrawn");
+        let current = current.filter(|_| !is_other);
+        self.record_departure(service, withdrawal, current.map(|run| run.started_ms));
+        if !is_other {
+            self.notify_quarantine(service.clone(), true).await;
+            self.remove(service).await;
+        }
+    }
+
+    /// Remembers which run has withdrawn, also if no announcement of it is known: this
+    /// node may have started after the last one. `announced_ms` is the start of the run
+    /// if it is the announced one.
+    fn record_departure(
+        &mut self,
+        service: &name::Name,
+        withdrawal: withdrawal::Withdrawal,
+        announced_ms: Option<u64>,
+    ) {
+        if !withdrawal.names_run() {
             return;
         }
-        if let Some(current) = current.filter(|_| id.is_some()) {
-            self.withdrawn.insert(service.clone(), current);
+        let departed = self.departed.entry(service.clone()).or_default();
+        if let Some(started) = withdrawal.started_ms.or(announced_ms) {
+            departed.add_run(started);
+        } else if let Some(id) = withdrawal.id {
+            departed.add_unnamed(id, unix_ms());
         }
-        self.notify_quarantine(service.clone(), true).await;
-        self.remove(service).await;
     }
 
     async fn remove(&mut self, service: &name::Name) {
@@ -248,3 +272,10 @@
         }
     }
 }
+
+/// The time of day in milliseconds of Unix time.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let ms = since.unwrap_or_default().as_millis();
+    u64::try_from(ms).unwrap_or(u64::MAX)
+}
--- a/crates/node/tests/common/fleet.rs
+++ b/crates/node/tests/common/fleet.rs
@@ -151,6 +151,12 @@
         assert!(announce(self.admin, &body.replace("serving", state)));
     }
 
+    /// Withdraws the target; the body may name the run.
+    pub fn withdraw(&self, body: &str) {
+        let answer = change_target(self.admin, "DELETE", body).unwrap();
+        assert!(answer.contains("204"), "{answer}");
+    }
+
     /// Announces a target without renewing the announcement.
     pub fn announce_once(&self, target: &target::Target, connections: u32) {
         assert!(announce(
@@ -181,15 +187,17 @@
 
 /// Sends one announcement; returns whether it was accepted.
 fn announce(admin: SocketAddr, body: &str) -> bool {
+    change_target(admin, "PUT", body).is_ok_and(|answer| answer.contains("204"))
+}
+
+fn change_target(admin: SocketAddr, method: &str, body: &str) -> std::io::Result<String> {
     let length = body.len();
     let request = format!(
-        "PUT /targets/service HTTP/1.1\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n{body}"
+        "{method} /targets/service HTTP/1.1\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n{body}"
     );
-    let Ok(mut stream) = TcpStream::connect(admin) else {
-        return false;
-    };
+    let mut stream = TcpStream::connect(admin)?;
     let _ = stream.write_all(request.as_bytes());
-    client::read_all(&mut stream).contains("204")
+    Ok(client::read_all(&mut stream))
 }
 
 /// Waits until a condition holds, for at most ten seconds.
--- a/crates/node/tests/notices.rs
+++ b/crates/node/tests/notices.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use common::{client, fleet, target};
+use rstest::rstest;
 
 const LIMITED: &str =
     "HTTP/1.1 200 OK\r\nmasticarch-rate-limit: 10\r\ncontent-length: 5\r\n\r\nhello";
@@ -170,3 +171,40 @@
     assert_eq!(target.requests.load(Ordering::SeqCst), 0);
     assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
 }
+
+// Guards against a node that has just started, acknowledges the withdrawal of a run that
+// it has not heard of, and takes a late announcement of it for news.
+#[rstest]
+#[case::id_and_start(r#"{"id":"i-1","started_ms":1}"#)]
+#[case::id_only(r#"{"id":"i-1"}"#)]
+#[case::start_only(r#"{"started_ms":1}"#)]
+fn withdrawal_holds_without_an_earlier_announcement(#[case] withdrawal: &str) {
+    let control = fleet::control();
+    let near = fleet::node("near", control);
+    let far = fleet::node("far", control);
+    let target = target::start(target::answering(LIMITED));
+
+    far.withdraw(withdrawal);
+    far.announce_state(&target, 1, "serving");
+    near.wait_for_target();
+    let answer = client::exchange(near.caller, &client::get("/guiones", ""));
+
+    assert_eq!(target.requests.load(Ordering::SeqCst), 0);
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+}
+
+// Guards against a run that gets nothing because the withdrawal of an earlier one with the
+// same id arrives late.
+#[test]
+fn late_withdrawal_of_an_earlier_run_is_ignored() {
+    let (_, near, far, target) = pair(target::answering(LIMITED));
+    let successor = target::start(target::answering("HTTP/1.1 204 No Content\r\n\r\n"));
+    far.announce_instance(&successor, 2);
+
+    far.withdraw(r#"{"id":"i-1","started_ms":1}"#);
+    thread::sleep(Duration::from_millis(300));
+    let answer = client::exchange(near.caller, &client::get("/guiones", ""));
+
+    assert_eq!(target.requests.load(Ordering::SeqCst), 0);
+    assert!(answer.starts_with("HTTP/1.1 204 "), "{answer}");
+}
