Give requests no more time than a stopping node has left

Cause: a request kept the deadline of its route whenever it was taken.

Change: from the signal on, the deadline is cut to the end of the drain, at the entry and beside the target, so that admission refuses as not run what cannot end in time. What is in flight when the process is about to end gets 502 outcome_unknown.

--- a/crates/node/src/admission/message.rs
+++ b/crates/node/src/admission/message.rs
@@ -1,7 +1,7 @@
 //! Messages to admission.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use masticarch_kernel::reply;
 use masticarch_model::target;
@@ -88,6 +88,8 @@
     /// A target beside this node was announced or changed, with its address, or was
     /// removed (`None`).
     Target(target::Target, Option<SocketAddr>),
+    /// The node ends at this moment. Requests that it still takes must end before.
+    ShutDown(Instant),
     /// Reads the current state of each target for operators.
     Status(reply::Reply<Vec<(target::Target, summary::Summary)>>),
 }
--- a/crates/node/src/admission/permit.rs
+++ b/crates/node/src/admission/permit.rs
@@ -1,6 +1,7 @@
 //! Permit to run a request at a target.
 
 use std::net::SocketAddr;
+use std::time::Instant;
 
 use crate::admission::key;
 
@@ -14,4 +15,6 @@
     pub context: Box<str>,
     /// Address of the target.
     pub address: SocketAddr,
+    /// Deadline of the request, which the end of the node may have brought forward.
+    pub deadline: Instant,
 }
--- a/crates/node/src/admission/state.rs
+++ b/crates/node/src/admission/state.rs
@@ -9,6 +9,7 @@
 use masticarch_policy::limit::Limiter;
 use masticarch_policy::queue::push;
 use masticarch_policy::shed::level;
+use masticarch_policy::shutdown;
 use slotmap::SlotMap;
 
 use crate::admission::{
@@ -32,6 +33,7 @@
     counters: counters::Counters,
     queue_limit: Duration,
     decisions: bool,
+    shutdown: shutdown::Shutdown,
     next_sweep: Instant,
 }
 
@@ -52,6 +54,7 @@
             counters,
             queue_limit,
             decisions,
+            shutdown: shutdown::Shutdown::default(),
             next_sweep: now + SWEEP_INTERVAL,
         }
     }
@@ -83,6 +86,7 @@
             }
             message::Message::Target(target, Some(address)) => self.update(target, address, now),
             message::Message::Target(target, None) => self.remove(&target, now),
+            message::Message::ShutDown(ends) => self.shutdown.begin(ends),
             message::Message::Status(reply) => {
                 let _ = reply.send(self.status(now));
             }
@@ -111,7 +115,8 @@
         wakes.fold(self.next_sweep, Instant::min)
     }
 
-    fn acquire(&mut self, entry: Box<entry::Entry>, reply: Reply, now: Instant) {
+    fn acquire(&mut self, mut entry: Box<entry::Entry>, reply: Reply, now: Instant) {
+        entry.deadline = self.shutdown.limit(entry.deadline);
         let Some(key) = self.services.get(&entry.service).copied() else {
             return self.deny_without_target(&entry, reply);
         };
@@ -183,12 +188,14 @@
             let code = code::Code::BufferFull;
             return self.deny(local, &waiter.entry, waiter.reply, code, now);
         };
+        let deadline = waiter.entry.deadline;
         let call = call::Call::new(local, waiter.entry, waiter.account, random.clone());
         let key = self.calls.insert(call);
         let permit = permit::Permit {
             call: key,
             context: context::encode(key, &random),
             address: self.targets[local].address,
+            deadline,
         };
         if waiter.reply.send(Ok(permit)).is_err() {
             self.end(key, message::End::NotRun, now);
--- a/crates/node/src/caller/handler.rs
+++ b/crates/node/src/caller/handler.rs
@@ -57,7 +57,15 @@
         };
         let is_call = is_call(&metadata.request.origin);
         let mut watch = watch::Watch::new(&services.admission, is_call);
-        let result = self.serve(metadata, request).await;
+        let id: Box<str> = metadata.request.id.as_deref().unwrap_or(NO_ID).into();
+        let serving = Box::pin(self.serve(metadata, request));
+        let result = match race::race(serving, services.cutoff.wait()).await {
+            Either::Left(result) => result,
+            Either::Right(()) => Err(Refused {
+                refusal: cut_off(),
+                id,
+            }),
+        };
         if has_succeeded(&result) {
             watch.succeed();
         }
@@ -345,6 +353,13 @@
     )
 }
 
+fn cut_off() -> refusal::Refusal {
+    refusal::Refusal::new(
+        code::Code::OutcomeUnknown,
+        "the node has stopped before the request ended",
+    )
+}
+
 fn parent_ended() -> refusal::Refusal {
     refusal::Refusal::new(
         code::Code::OutcomeUnknown,
--- a/crates/node/src/gate/message.rs
+++ b/crates/node/src/gate/message.rs
@@ -66,6 +66,8 @@
     ReportsLost,
     /// Another control process leads, and waits for the reports of all nodes.
     LeaderChanged,
+    /// The node ends at this moment. Requests that it still takes must end before.
+    ShutDown(Instant),
     /// Refuses new requests from now on.
     Drain,
 }
--- a/crates/node/src/gate/state.rs
+++ b/crates/node/src/gate/state.rs
@@ -8,6 +8,7 @@
 use masticarch_policy::credit::allowance;
 use masticarch_policy::freshness;
 use masticarch_policy::share::{decision, holder};
+use masticarch_policy::shutdown;
 
 use crate::gate::{
     authorization, context, denial, dispatcher, lease_report, message, pending, request, splits,
@@ -32,6 +33,7 @@
     splits: splits::Splits,
     dispatcher: dispatcher::Dispatcher,
     lease_report: lease_report::Schedule,
+    shutdown: shutdown::Shutdown,
     draining: bool,
     next_sweep: Instant,
 }
@@ -55,6 +57,7 @@
             splits: splits::Splits::default(),
             dispatcher,
             lease_report: lease_report::Schedule::new(now),
+            shutdown: shutdown::Shutdown::default(),
             draining: false,
             next_sweep: now + SWEEP_INTERVAL,
         }
@@ -88,6 +91,7 @@
                 self.lease_report.bring_forward(now + REPORT_RETRY_DELAY);
             }
             message::Message::LeaderChanged => self.lease_report.bring_forward(now),
+            message::Message::ShutDown(ends) => self.shutdown.begin(ends),
             message::Message::Drain => self.draining = true,
         }
     }
@@ -196,7 +200,9 @@
         let route = &directory.routes[key];
         let rank = team.and_then(|team| directory.teams[team].rank);
         let rank = rank.unwrap_or(route.rank);
-        let context = context::Context::new(&directory, route, rank, request, &mut self.rng, now);
+        let mut context =
+            context::Context::new(&directory, route, rank, request, &mut self.rng, now);
+        context.deadline = self.shutdown.limit(context.deadline);
         if context.deadline <= now {
             return denial::send(reply, code::Code::DeadlineExceeded);
         }
--- a/crates/node/src/role.rs
+++ b/crates/node/src/role.rs
@@ -1,9 +1,9 @@
 //! Starts and stops the services of a node.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use masticarch_kernel::{kernel, mailbox, stop};
+use masticarch_kernel::{kernel, mailbox, stop, task};
 use masticarch_model::incarnation;
 use monoio::net::TcpListener;
 
@@ -19,6 +19,9 @@
 const MAILBOX_CAPACITY: usize = 256;
 /// Time in which the other nodes learn that this node is draining.
 const DRAIN_PROPAGATION: Duration = Duration::from_secs(1);
+/// Fraction of the stop limit after which requests that are still in flight get their
+/// final answers.
+const CUTOFF_RATIO: f64 = 0.8;
 /// Longest time for which the stop of one service is waited for, once no request is in
 /// flight.
 const STOP_TIMEOUT: Duration = Duration::from_secs(5);
@@ -65,7 +68,9 @@
     let mailboxes = Mailboxes::register(&mut kernel)?;
     let incarnation = incarnation::Incarnation(fastrand::u64(1..));
     let metrics = metrics::Metrics::new()?;
-    let services = services::Services::new(kernel.registry(), options, incarnation, metrics)?;
+    let (cutoff_sender, cutoff) = stop::Stop::new();
+    let services =
+        services::Services::new(kernel.registry(), options, incarnation, metrics, cutoff)?;
     let services = Rc::new(services);
     start_stateful::<P>(&mut kernel, mailboxes, &services);
     start_listeners::<P>(&mut kernel, listeners, &services);
@@ -73,6 +78,10 @@
     stop.wait().await;
     drain(&services).await;
     let limit = services.options.stop_limit;
+    drop(task::spawn(name::CALLER, async move {
+        monoio::time::sleep(limit.mul_f64(CUTOFF_RATIO)).await;
+        drop(cutoff_sender);
+    }));
     let stopping = kernel.shutdown(STOP_TIMEOUT.min(limit));
     if monoio::time::timeout(limit, stopping).await.is_err() {
         tracing::warn!("services did not stop within the timeout");
@@ -86,13 +95,25 @@
 async fn drain(services: &services::Services) {
     let _ = services.sync.send(sync::message::Message::Drain).await;
     let options = &services.options;
+    let rest = DRAIN_PROPAGATION.saturating_sub(options.linger);
+    let limit = options.drain_limit.saturating_sub(options.linger);
+    let whole = options.linger.saturating_add(rest).saturating_add(limit);
+    if let Some(ends) = Instant::now().checked_add(whole) {
+        let gate = gate::message::Message::ShutDown(ends);
+        let _ = services.gate.send(gate).await;
+        let admission = admission::message::Message::ShutDown(ends);
+        let _ = services.admission.send(admission).await;
+    }
     monoio::time::sleep(options.linger).await;
     let _ = services.gate.send(gate::message::Message::Drain).await;
-    monoio::time::sleep(DRAIN_PROPAGATION.saturating_sub(options.linger)).await;
-    let limit = options.drain_limit.saturating_sub(options.linger);
+    monoio::time::sleep(rest).await;
     let idle = monoio::time::timeout(limit, services.in_flight.wait_idle());
     if idle.await.is_err() {
-        tracing::warn!("requests were still in flight at the drain limit");
+        let in_flight = services.in_flight.count();
+        tracing::warn!(
+            in_flight,
+            "requests were still in flight at the drain limit"
+        );
     }
 }
 
--- a/crates/node/src/services.rs
+++ b/crates/node/src/services.rs
@@ -21,6 +21,8 @@
     pub incarnation: incarnation::Incarnation,
     /// Metrics that requests are counted in.
     pub metrics: metrics::Metrics,
+    /// Set when the node is about to end: requests in flight get their final answers.
+    pub cutoff: stop::Stop,
     /// Requests in flight, which a shutdown waits for.
     pub in_flight: in_flight::Counter,
     /// Addresses of the control processes.
@@ -57,6 +59,7 @@
         options: Rc<options::Options>,
         incarnation: incarnation::Incarnation,
         metrics: metrics::Metrics,
+        cutoff: stop::Stop,
     ) -> Result<Self, error::Error> {
         let budget = budget::Budget::new(options.buffer_bytes);
         let contacts = contacts::Contacts::new(&options.control);
@@ -65,6 +68,7 @@
             contacts,
             incarnation,
             metrics,
+            cutoff,
             in_flight: in_flight::Counter::default(),
             budget,
             gate: registry.lookup(name::GATE)?,
--- a/crates/node/src/target/run.rs
+++ b/crates/node/src/target/run.rs
@@ -52,7 +52,8 @@
     permit: permit::Permit,
 ) -> job::Outcome {
     let mut guard = guard::Guard::new(services.admission.clone(), permit.call);
-    let deadline = monoio::time::Instant::from_std(watch.job.entry.deadline);
+    watch.job.entry.deadline = permit.deadline;
+    let deadline = monoio::time::Instant::from_std(permit.deadline);
     let exchange = exchange::<P>(services, &mut guard, &permit, &mut watch);
     let (result, end) = match monoio::time::timeout_at(deadline, exchange).await {
         Ok(Ok(answer)) if answer.status.is_server_error() => (Ok(answer), guard.errored()),
--- a/crates/node/tests/common/fleet.rs
+++ b/crates/node/tests/common/fleet.rs
@@ -66,25 +66,48 @@
 
 /// Starts a node that other nodes reach at `advertised`, if it is given.
 pub fn node_at(name: &str, control: SocketAddr, advertised: Option<SocketAddr>) -> Node {
-    let (caller, peer, admin) = (address(), address(), address());
-    let options = options::Options::builder()
+    start(options_of(name, control, advertised))
+}
+
+/// Starts a node that takes requests for `linger` once it is asked to stop, and stops
+/// within `drain_limit` and half a second.
+pub fn node_that_stops(
+    name: &str,
+    control: SocketAddr,
+    linger: Duration,
+    drain_limit: Duration,
+) -> Node {
+    start(options::Options {
+        linger,
+        drain_limit,
+        stop_limit: Duration::from_millis(500),
+        ..options_of(name, control, None)
+    })
+}
+
+fn options_of(name: &str, control: SocketAddr, advertised: Option<SocketAddr>) -> options::Options {
+    options::Options::builder()
         .name(name.into())
         .place(place::Place {
             region: "centro".into(),
             domain: "a".into(),
         })
-        .caller(caller)
-        .peer(peer)
-        .admin(admin)
+        .caller(address())
+        .peer(address())
+        .admin(address())
         .maybe_advertised(advertised)
         .control(vec![control])
         .credential(credential())
         .max_request_bytes(1000)
         .max_answer_bytes(1000)
         .min_quarantine(MIN_QUARANTINE)
-        .build();
+        .build()
+}
+
+fn start(options: options::Options) -> Node {
+    let (caller, peer, admin) = (options.caller, options.peer, options.admin);
     let (sender, receiver) = mpsc::channel();
-    let builder = thread::Builder::new().name(format!("node-{name}"));
+    let builder = thread::Builder::new().name(format!("node-{}", options.name));
     let run = move || {
         let (stop, signal) = stop::Stop::new();
         sender.send(stop).unwrap();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod route;
 pub mod share;
 pub mod shed;
+pub mod shutdown;
