Open the data directory again once a failed disk takes writes

With masticarchd this could happen here.

Cause: a control process whose storage had failed stayed up without taking part until an operator restarted it, so that the group shrank with each disk.

Ruled out: a leader that keeps the lead with a failed disk; changes went on until a majority had failed.

Change: the role opens its data directory again every 500 ms and goes on as after a restart. Damaged and foreign directories still end the process.

--- a/crates/control/src/error.rs
+++ b/crates/control/src/error.rs
@@ -37,3 +37,16 @@
         }
     }
 }
+
+impl Error {
+    /// Whether the same may succeed later without any change by an operator, as when a
+    /// full disk has room again.
+    #[must_use]
+    pub fn is_temporary(&self) -> bool {
+        match self {
+            Self::Storage | Self::Listen(..) => true,
+            Self::Journal(failure) => failure.is_temporary(),
+            Self::Kernel(_) | Self::Metrics(_) => false,
+        }
+    }
+}
--- a/crates/control/src/journal.rs
+++ b/crates/control/src/journal.rs
@@ -60,6 +60,18 @@
     }
 }
 
+impl Error {
+    /// Whether the directory may be usable later: the disk refuses an operation, or the
+    /// last writer has not let go of the lock yet.
+    #[must_use]
+    pub const fn is_temporary(&self) -> bool {
+        matches!(
+            self,
+            Self::Io(_) | Self::Locked | Self::Store(store_error::Error::Io(..))
+        )
+    }
+}
+
 /// The payload of a snapshot in the store.
 #[derive(Debug, Serialize, Deserialize)]
 struct Stored {
--- a/crates/control/src/options.rs
+++ b/crates/control/src/options.rs
@@ -10,9 +10,10 @@
 /// What a control process does when its storage has failed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum FailurePolicy {
-    /// It stays up without taking part in the group until an operator restarts it.
+    /// It opens the data directory again and goes on from the state on the disk, as
+    /// after a restart, as soon as the disk takes writes.
     #[default]
-    Stay,
+    Reopen,
     /// It exits, so that its supervisor restarts it from the state on the disk.
     Exit,
 }
--- a/crates/control/src/role.rs
+++ b/crates/control/src/role.rs
@@ -14,24 +14,47 @@
 
 /// Messages that a mailbox holds before its senders wait.
 const MAILBOX_CAPACITY: usize = 1_024;
+/// Time between attempts to open a data directory again whose disk has failed.
+const REOPEN_INTERVAL: Duration = Duration::from_millis(500);
 /// Time for each service to stop, and for all of them together.
 const STOP_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Runs the control role until it is asked to stop.
+/// Runs the control role until it is asked to stop. After a failure of its storage it
+/// does what the policy of the options says.
 ///
 /// # Errors
-/// [`error::Error`] when the data directory or a port cannot be opened, when a
-/// service cannot be registered or found, or when the storage fails and the policy
-/// is [`options::FailurePolicy::Exit`].
+/// Those of [`run_with`]. After a failure of the storage with the policy
+/// [`options::FailurePolicy::Reopen`], those that a later attempt may not meet are logged
+/// instead.
 pub async fn run(options: options::Options, stop: stop::Stop) -> Result<(), error::Error> {
-    run_with(options, stop, |_, _| Ok(())).await
+    let mut outcome = run_with(options.clone(), stop.clone(), |_, _| Ok(())).await;
+    if options.on_storage_failure == options::FailurePolicy::Exit
+        || !matches!(outcome, Err(error::Error::Storage))
+    {
+        return outcome;
+    }
+    while let Err(failure) = &outcome
+        && failure.is_temporary()
+    {
+        tracing::warn!(error = %failure, "the data directory is opened again");
+        if monoio::time::timeout(REOPEN_INTERVAL, stop.wait())
+            .await
+            .is_ok()
+        {
+            return Ok(());
+        }
+        outcome = run_with(options.clone(), stop.clone(), |_, _| Ok(())).await;
+    }
+    outcome
 }
 
-/// Runs the control role as [`run`] does, with the further services that `extend`
-/// starts.
+/// Runs the control role with the further services that `extend` starts, until it is
+/// asked to stop or its storage fails.
 ///
 /// # Errors
-/// As [`run`], and the errors of `extend`.
+/// [`error::Error`] when the data directory or a port cannot be opened, when a
+/// service cannot be registered or found, or when the storage fails; and the errors of
+/// `extend`.
 pub async fn run_with(
     options: options::Options,
     stop: stop::Stop,
@@ -39,7 +62,6 @@
 ) -> Result<(), error::Error> {
     let options = bootstrap::resolve(options).map_err(error::Error::Journal)?;
     let listeners = Listeners::open(&options)?;
-    let policy = options.on_storage_failure;
     let journal = journal::Journal::open(&options)?;
     let mut kernel = kernel::Kernel::new();
     let (failure_sender, failure) = stop::Stop::new();
@@ -49,7 +71,7 @@
     tracing::info!("control role started");
     let failed = futures::select_biased! {
         () = stop.wait().fuse() => false,
-        () = storage_failed(&failure, policy).fuse() => true,
+        () = failure.wait().fuse() => true,
     };
     let stopping = kernel.shutdown(STOP_TIMEOUT);
     if monoio::time::timeout(STOP_TIMEOUT, stopping).await.is_err() {
@@ -63,14 +85,6 @@
     }
 }
 
-/// Resolves when the storage has failed; never if the process then stays up.
-async fn storage_failed(failure: &stop::Stop, policy: options::FailurePolicy) {
-    if policy == options::FailurePolicy::Stay {
-        std::future::pending::<()>().await;
-    }
-    failure.wait().await;
-}
-
 /// The listening sockets, opened before any service starts.
 struct Listeners {
     member: listener::Listener,
--- a/crates/load/src/fleet/process.rs
+++ b/crates/load/src/fleet/process.rs
@@ -5,7 +5,7 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
-use rustix::process::{Pid, Signal};
+use rustix::process::{Pid, Resource, Rlimit, Signal};
 
 use crate::error;
 
@@ -73,15 +73,46 @@
     /// # Errors
     /// [`error::Error::Io`] when it cannot be started.
     pub fn restart_with_file_limit(&mut self, blocks: u64) -> Result<(), error::Error> {
+        self.launch_with_file_limit(&blocks.to_string())
+    }
+
+    /// Restarts the process so that [`Process::set_disk_full`] can be used.
+    ///
+    /// # Errors
+    /// [`error::Error::Io`] when it cannot be started.
+    pub fn restart_with_fillable_disk(&mut self) -> Result<(), error::Error> {
+        self.launch_with_file_limit("unlimited")
+    }
+
+    fn launch_with_file_limit(&mut self, blocks: &str) -> Result<(), error::Error> {
         let mut command = Command::new("/bin/sh");
         command
             .args(["-c", FILE_LIMIT_SCRIPT, "sh"])
-            .arg(blocks.to_string())
+            .arg(blocks)
             .arg(&self.program)
             .args(&self.arguments);
         self.launch(command)
     }
 
+    /// Makes all writes of the running process to files fail, or no longer. It must have
+    /// been started by [`Process::restart_with_fillable_disk`].
+    ///
+    /// # Errors
+    /// [`error::Error::Io`] when the limit cannot be set.
+    pub fn set_disk_full(&self, full: bool) -> Result<(), error::Error> {
+        let Some(child) = &self.child else {
+            return Ok(());
+        };
+        let pid = Some(Pid::from_child(child));
+        let usual = rustix::process::getrlimit(Resource::Fsize);
+        let limit = Rlimit {
+            current: if full { Some(0) } else { usual.current },
+            ..usual
+        };
+        rustix::process::prlimit(pid, Resource::Fsize, limit).map_err(std::io::Error::from)?;
+        Ok(())
+    }
+
     /// Kills the process (SIGKILL) and waits for its end.
     ///
     /// # Errors
--- a/crates/testsuite/tests/control_disk.rs
+++ b/crates/testsuite/tests/control_disk.rs
@@ -324,3 +324,50 @@
         "{max_refusal_time:?}"
     );
 }
+
+// Guards against a member that stays out of its group for good after its disk was full for
+// a moment: once a majority of the members have met this one after the other, no change is
+// accepted any more, although all processes run.
+#[test]
+fn group_outlasts_disks_that_are_full_in_turn() {
+    const SEED: u64 = 341;
+    const CHANGES: usize = 20;
+    const FULL_TIME: Duration = Duration::from_secs(1);
+    const PAUSE: Duration = Duration::from_secs(3);
+    let (violations, operations) = runtime::run(async {
+        let mut group = group::Group::start(SEED, false).await;
+        for control in &mut group.fleet.controls {
+            control.process.restart_with_fillable_disk().unwrap();
+            ready::wait(control.settings.admin, group::RECOVERY_TIMEOUT)
+                .await
+                .unwrap();
+        }
+        let mut writer = group.writer(SEED);
+        let mut operations = Vec::new();
+
+        for index in 0..group.fleet.controls.len() {
+            let process = &group.fleet.controls[index].process;
+            process.set_disk_full(true).unwrap();
+            let end = Instant::now() + FULL_TIME;
+            operations.extend(writer.run(CHANGES, end).await);
+            monoio::time::sleep(end.saturating_duration_since(Instant::now())).await;
+            process.set_disk_full(false).unwrap();
+            monoio::time::sleep(PAUSE).await;
+        }
+        let end = Instant::now() + group::RECOVERY_TIMEOUT;
+        let last = writer.run(CHANGES, end).await;
+        let accepted = group::accepted_count(&last);
+        operations.extend(last);
+        assert_eq!(accepted, CHANGES, "{operations:?}");
+        for control in &group.fleet.controls {
+            ready::wait(control.settings.admin, group::RECOVERY_TIMEOUT)
+                .await
+                .unwrap();
+        }
+        (group.violations(&operations, &[]).await, operations)
+    })
+    .unwrap();
+
+    assert_eq!(violations, Vec::<String>::new());
+    assert_eq!(group::unknown_count(&operations), 0);
+}
