Record at control which runs of targets have left

Requests reached the instance for seconds, and orders were lost.

Cause: departures were kept in the memory of the node only, and the directory did not tell the runs of a target apart.

Ruled out: runs that are ordered wrongly; the only line "target has withdrawn" is that of the killed process.

Change: nodes report the starts of the runs that they announce and of those that are leaving or gone. The replicated state keeps the latter by node and service, and publishes a late announcement of them as draining. A departure is acknowledged once it is recorded, or refused after 850 ms.

--- a/crates/control/examples/capacity.rs
+++ b/crates/control/examples/capacity.rs
@@ -211,6 +211,8 @@
 
 fn print_messages(size: Size, catalog: &catalog::Catalog) {
     let request = sync::Request {
+        runs: Vec::new(),
+        departed: Vec::new(),
         node: node(77),
         targets: vec![target(size, 77)],
         loads: vec![sync::Load {
--- a/crates/control/src/member/sync.rs
+++ b/crates/control/src/member/sync.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use masticarch_kernel::reply;
-use masticarch_model::{code, command, name, outcome, version};
+use masticarch_model::{code, command, name, outcome, run, version};
 use masticarch_wire::message::sync;
 
 use crate::registry::{answer, registration};
@@ -57,6 +57,7 @@
     request: sync::Request,
 ) -> Result<(), code::Code> {
     let node = request.node;
+    record_departures(services, &node.name, request.departed).await?;
     if request.leaving {
         let command = command::Command::Leave(node.name, node.incarnation);
         return commit(services, &command).await;
@@ -68,11 +69,10 @@
         loads: request.loads,
     };
     send(services, liveness::message::Message::Contact(contact)).await?;
-    let targets = request.targets;
     let asked = services.registry.ask(|reply| {
-        registry::message::Message::Registration(node.clone(), targets.clone(), reply)
+        registry::message::Message::Registration(node.clone(), request.targets, request.runs, reply)
     });
-    let registration = asked.await.map_err(|_| code::Code::NoQuorum)?;
+    let (registration, targets) = asked.await.map_err(|_| code::Code::NoQuorum)?;
     if registration == registration::Registration::Absent {
         if is_join_delayed(services, &node.name).await? {
             return Ok(());
@@ -93,6 +93,26 @@
     Ok(())
 }
 
+/// Commits the departures that are not recorded yet.
+async fn record_departures(
+    services: &services::Services,
+    node: &name::Name,
+    departed: Vec<run::Run>,
+) -> Result<(), code::Code> {
+    if departed.is_empty() {
+        return Ok(());
+    }
+    let asked = services
+        .registry
+        .ask(|reply| registry::message::Message::Unrecorded(node.clone(), departed, reply));
+    let departed = asked.await.map_err(|_| code::Code::NoQuorum)?;
+    if departed.is_empty() {
+        return Ok(());
+    }
+    tracing::info!(%node, ?departed, "targets of a node are leaving");
+    commit(services, &command::Command::Depart(node.clone(), departed)).await
+}
+
 /// Whether the node's join is delayed. Its next poll tries again.
 async fn is_join_delayed(
     services: &services::Services,
--- a/crates/control/src/registry/message.rs
+++ b/crates/control/src/registry/message.rs
@@ -5,7 +5,7 @@
 
 use masticarch_kernel::reply;
 use masticarch_model::{
-    catalog, change, claim, document, incarnation, name, node, outcome, target, version, view,
+    catalog, change, claim, document, incarnation, name, node, outcome, run, target, version, view,
 };
 
 use super::{answer, registration};
@@ -34,12 +34,16 @@
     /// Answers a poll at once.
     Current(version::Version, reply::Reply<answer::Answer>),
     /// Compares a node and the targets that it announces with its record in the
-    /// catalog.
+    /// catalog. The reply has the targets to record, with those of departed runs marked
+    /// as draining.
     Registration(
         node::Node,
         Vec<target::Target>,
-        reply::Reply<registration::Registration>,
+        Vec<run::Run>,
+        reply::Reply<(registration::Registration, Vec<target::Target>)>,
     ),
+    /// Returns those of the runs at a node whose departure is not recorded.
+    Unrecorded(name::Name, Vec<run::Run>, reply::Reply<Vec<run::Run>>),
     /// Returns the nodes that have joined.
     Nodes(reply::Reply<Vec<(name::Name, incarnation::Incarnation)>>),
     /// Returns the claim on a subject.
--- a/crates/control/src/registry/service.rs
+++ b/crates/control/src/registry/service.rs
@@ -96,8 +96,13 @@
             message::Message::Current(held, reply) => {
                 let _ = reply.send(answer::Answer::new(&self.catalog, held));
             }
-            message::Message::Registration(node, targets, reply) => {
-                let _ = reply.send(self.registration(&node, targets));
+            message::Message::Registration(node, targets, runs, reply) => {
+                let targets = self.catalog.without_departed(&node.name, targets, &runs);
+                let registration = self.registration(&node, targets.clone());
+                let _ = reply.send((registration, targets));
+            }
+            message::Message::Unrecorded(node, departed, reply) => {
+                let _ = reply.send(self.catalog.unrecorded(&node, departed));
             }
             message::Message::Nodes(reply) => {
                 let nodes = self.catalog.view().nodes.iter().map(|entry| &entry.node);
--- a/crates/control/tests/ports.rs
+++ b/crates/control/tests/ports.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use masticarch_model::{
-    attempt, claim, code, edit, incarnation, kind, name, node as model_node, settlement, target,
-    version, view,
+    attempt, claim, code, edit, incarnation, kind, name, node as model_node, run as model_run,
+    settlement, target, version, view,
 };
 use masticarch_wire::message::{claim as claims, lease, operator, sync};
 
@@ -17,6 +17,8 @@
 
 fn poll(node: &model_node::Node, held: u64) -> sync::Request {
     sync::Request {
+        runs: Vec::new(),
+        departed: Vec::new(),
         node: node.clone(),
         targets: Vec::new(),
         loads: Vec::new(),
@@ -231,6 +233,48 @@
     });
 }
 
+// Guards against a target that has left and is published as serving, because its node has
+// restarted and an earlier announcement of it arrives late.
+#[test]
+fn late_announcement_of_a_departed_run_is_published_as_draining() {
+    run(async {
+        let control = Control::start().await;
+        let member = control.member().await;
+        let departed = model_run::Run {
+            service: "alertas".into(),
+            started_ms: 20,
+        };
+        let mut leaving = poll(&node("alertas-1", 7), 0);
+        leaving.departed = vec![departed.clone()];
+        leaving.hold_ms = 0;
+        member.sync(&leaving).await;
+
+        let mut late = poll(&node("alertas-1", 8), 0);
+        late.targets = vec![target_of("alertas", target::State::Serving)];
+        late.runs = vec![departed];
+        late.hold_ms = 0;
+        let started = Instant::now();
+        let mut view = fixture::snapshot(member.sync(&late).await);
+        // Joins and announcements of one node are delayed if they follow each other closely.
+        while announced(&view, 8).is_none() && started.elapsed() < Duration::from_secs(8) {
+            monoio::time::sleep(Duration::from_millis(100)).await;
+            view = fixture::snapshot(member.sync(&late).await);
+        }
+
+        let state = announced(&view, 8).map(|target| target.state);
+        assert_eq!(state, Some(target::State::Draining));
+        control.stop().await;
+    });
+}
+
+/// The first target that an incarnation has announced.
+fn announced(view: &view::View, incarnation: u64) -> Option<&target::Target> {
+    let incarnation = incarnation::Incarnation(incarnation);
+    let mut nodes = view.nodes.iter();
+    let entry = nodes.find(|entry| entry.node.incarnation == incarnation)?;
+    entry.targets.first()
+}
+
 // Guards against two attempts that both hold the claim on one request.
 #[test]
 fn second_claim_gets_the_first_answer() {
--- a/crates/model/src/catalog.rs
+++ b/crates/model/src/catalog.rs
@@ -4,6 +4,7 @@
 mod change_log;
 mod claim_table;
 mod delta_log;
+mod departures;
 mod fleet;
 mod reference;
 
@@ -12,7 +13,7 @@
 
 use crate::{
     attempt, change, check, claim, code, command, configuration, delta, document, edit, finding,
-    incarnation, name, node, outcome, settlement, target, version, view,
+    incarnation, name, node, outcome, run, settlement, target, version, view,
 };
 
 pub use change_log::Record;
@@ -46,6 +47,9 @@
     /// The document that the current configuration was made from; `None` when it was
     /// not made from a document of another system.
     document: Option<document::Document>,
+    /// Follows the other fields in a snapshot, because earlier snapshots end without it.
+    #[serde(skip)]
+    departures: departures::Departures,
     /// Not part of a snapshot: a node whose version is older than the snapshot
     /// receives the whole view.
     #[serde(skip)]
@@ -123,6 +127,26 @@
         targets
     }
 
+    /// The targets that a node announces, with those of departed runs marked as
+    /// draining. `runs` are those of the targets that identify them.
+    #[must_use]
+    pub fn without_departed(
+        &self,
+        node: &name::Name,
+        mut targets: Vec<target::Target>,
+        runs: &[run::Run],
+    ) -> Vec<target::Target> {
+        self.departures.mark(node, &mut targets, runs);
+        targets
+    }
+
+    /// Those of the runs at a node whose departure is not recorded.
+    #[must_use]
+    pub fn unrecorded(&self, node: &name::Name, departed: Vec<run::Run>) -> Vec<run::Run> {
+        let is_new = |run: &run::Run| !self.departures.contains(node, run);
+        departed.into_iter().filter(is_new).collect()
+    }
+
     /// The claim on a subject, running or settled.
     #[must_use]
     pub fn claim(&self, subject: &claim::Subject) -> Option<&claim::Claim> {
@@ -168,6 +192,10 @@
                 self.publish(delta::Delta::Control(addresses));
                 outcome::Outcome::Applied
             }
+            command::Command::Depart(node, runs) => {
+                self.departures.record(node, runs);
+                outcome::Outcome::Applied
+            }
         }
     }
 
@@ -185,7 +213,8 @@
     /// # Errors
     /// [`Error::Codec`] when the state cannot be encoded.
     pub fn encode(&self) -> Result<Vec<u8>, Error> {
-        Ok(postcard::to_allocvec(self)?)
+        let bytes = postcard::to_allocvec(self)?;
+        Ok(postcard::to_extend(&self.departures, bytes)?)
     }
 
     /// Decodes a snapshot.
@@ -193,7 +222,10 @@
     /// # Errors
     /// [`Error::Codec`] when the bytes are not an encoding of a catalog.
     pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
-        let mut catalog: Self = postcard::from_bytes(bytes)?;
+        let (mut catalog, rest) = postcard::take_from_bytes::<Self>(bytes)?;
+        if !rest.is_empty() {
+            catalog.departures = postcard::from_bytes(rest)?;
+        }
         catalog.deltas = delta_log::DeltaLog::starting_at(catalog.view.version);
         Ok(catalog)
     }
--- a/crates/model/src/command.rs
+++ b/crates/model/src/command.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{attempt, change, claim, incarnation, name, node, settlement, target};
+use crate::{attempt, change, claim, incarnation, name, node, run, settlement, target};
 
 /// A command of the replicated log, applied by [`crate::catalog::Catalog::apply`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -32,4 +32,6 @@
     /// Sets the addresses of the control group's member ports. Derived from changes
     /// of the group's membership; never proposed as a command.
     Control(Vec<SocketAddr>),
+    /// Records runs of targets at a node that are leaving or gone.
+    Depart(name::Name, Vec<run::Run>),
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod priority;
 pub mod ran;
 pub mod route;
+pub mod run;
 pub mod secret;
 pub mod settlement;
 pub mod target;
--- a/crates/model/tests/catalog.rs
+++ b/crates/model/tests/catalog.rs
@@ -3,7 +3,7 @@
 mod fixture;
 
 use masticarch_model::{
-    answer, attempt, catalog, claim, code, command, delta, edit, incarnation, kind, outcome,
+    answer, attempt, catalog, claim, code, command, delta, edit, incarnation, kind, outcome, run,
     settlement, target, version,
 };
 use rstest::rstest;
@@ -463,6 +463,46 @@
     assert!(catalog::Catalog::decode(&bytes[..bytes.len() / 2]).is_err());
 }
 
+// Guards against a run that has left and is used again: its node restarts, forgets the
+// departure, and takes an earlier announcement that arrives late for news.
+#[rstest]
+#[case::at_once(false)]
+#[case::after_a_snapshot(true)]
+fn departure_outlasts_the_process_of_its_node(#[case] restarts: bool) {
+    let mut log = started();
+    let run = |started_ms| run::Run {
+        service: "alertas".into(),
+        started_ms,
+    };
+    log.apply(command::Command::Depart("one".into(), vec![run(20)]));
+    log.apply(command::Command::Leave(
+        "one".into(),
+        incarnation::Incarnation(1),
+    ));
+    log.apply(command::Command::Join(node("one", 11)));
+    if restarts {
+        log.restart();
+    }
+
+    let state_of = |name: &str, started_ms| {
+        let targets = vec![target_of("alertas")];
+        let targets = log
+            .catalog
+            .without_departed(&name.into(), targets, &[run(started_ms)]);
+        targets[0].state
+    };
+
+    assert_eq!(state_of("one", 10), target::State::Draining);
+    assert_eq!(state_of("one", 20), target::State::Draining);
+    assert_eq!(state_of("one", 30), target::State::Serving);
+    assert_eq!(state_of("two", 20), target::State::Serving);
+    assert!(
+        log.catalog
+            .unrecorded(&"one".into(), vec![run(20)])
+            .is_empty()
+    );
+}
+
 // Guards against a new incarnation of a present node that is not published.
 #[test]
 fn new_incarnation_is_published() {
--- a/crates/node/src/admin/handler.rs
+++ b/crates/node/src/admin/handler.rs
@@ -13,7 +13,7 @@
 use crate::caller::encode;
 use crate::quarantine::message as quarantine;
 use crate::sync::message as sync;
-use crate::target::{announcement, message as target, withdrawal};
+use crate::target::{announcement, change, message as target, withdrawal};
 use crate::{refusal, services, session};
 
 /// Answers the requests on one connection to the admin port.
@@ -100,9 +100,13 @@
             },
             _ => return text(StatusCode::METHOD_NOT_ALLOWED, "PUT or DELETE"),
         };
-        match self.services.target.send(message).await {
+        match change::apply(&self.services, message).await {
             Ok(()) => answer::Answer::new(StatusCode::NO_CONTENT, ""),
-            Err(_) => refused(code::Code::Draining, "the node is stopping"),
+            Err(code::Code::NoQuorum) => refused(
+                code::Code::NoQuorum,
+                "the control leader has not recorded that the target leaves",
+            ),
+            Err(code) => refused(code, "the node is stopping"),
         }
     }
 }
--- a/crates/node/src/sync/message.rs
+++ b/crates/node/src/sync/message.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use masticarch_kernel::reply;
-use masticarch_model::version;
+use masticarch_model::{run, version};
 use masticarch_wire::message::sync;
 
 use super::home;
@@ -32,6 +32,11 @@
     Home(Box<str>, reply::Reply<Option<home::Home>>),
     /// Announces the node's targets to the leader as draining from now on.
     Drain,
+    /// Reports the runs of the local targets to the leader at once. The reply says whether
+    /// the leader has recorded those that are leaving.
+    Report(reply::Reply<bool>),
+    /// The leader has recorded these departed runs.
+    Recorded(Vec<run::Run>),
     /// Reads the state of the copy.
     Status(reply::Reply<Status>),
 }
--- a/crates/node/src/sync/poll.rs
+++ b/crates/node/src/sync/poll.rs
@@ -12,6 +12,9 @@
 /// tight loop.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Longest time for a report. A target waits for it, and gives up after a second.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(850);
+
 /// Asks the leader for changes, one request at a time, until dropped.
 pub async fn run(mut leader: leader::Leader, sync: address::Address<message::Message>) {
     let mut lost_since: Option<Instant> = None;
@@ -40,6 +43,23 @@
     }
 }
 
+/// Reports the state of the node to the leader beside the long poll. Returns whether the
+/// leader has answered in time; what it answers is left to the long poll.
+pub async fn report(mut leader: leader::Leader, request: sync::Request) -> bool {
+    let request = sync::Request {
+        hold_ms: 0,
+        ..request
+    };
+    let answered = async {
+        while leader.ask(&request, Duration::ZERO).await.is_err() {
+            monoio::time::sleep(RETRY_DELAY).await;
+        }
+    };
+    monoio::time::timeout(REPORT_TIMEOUT, answered)
+        .await
+        .is_ok()
+}
+
 /// Tells the leader that the node leaves. One attempt is enough, because the leader
 /// removes a node that it no longer hears from in any case.
 pub async fn leave(mut leader: leader::Leader, request: sync::Request) {
--- a/crates/node/src/sync/service.rs
+++ b/crates/node/src/sync/service.rs
@@ -5,8 +5,8 @@
 use std::time::Instant;
 
 use futures::future::{self, Either};
-use masticarch_kernel::{address, mailbox, stop, task};
-use masticarch_model::{directory, incarnation, node, target, view};
+use masticarch_kernel::{address, mailbox, reply, stop, task};
+use masticarch_model::{directory, incarnation, node, run, target, view};
 use masticarch_wire::message::sync;
 
 use super::{home, message, poll};
@@ -46,6 +46,8 @@
     homes: home::Homes,
     current_at: Option<Instant>,
     announced: Vec<target::Target>,
+    /// Departed runs that the leader has recorded.
+    recorded: Vec<run::Run>,
     draining: bool,
     /// The leader that answered last.
     leader: Option<SocketAddr>,
@@ -79,6 +81,7 @@
         homes: home::Homes::default(),
         current_at: None,
         announced: Vec::new(),
+        recorded: Vec::new(),
         draining: false,
         leader: None,
     };
@@ -105,6 +108,8 @@
             message::Message::Home(id, reply) => {
                 let _ = reply.send(self.home(&id));
             }
+            message::Message::Report(reply) => self.report(reply).await,
+            message::Message::Recorded(departed) => self.recorded = departed,
             message::Message::Drain => self.draining = true,
             message::Message::Status(reply) => {
                 let _ = reply.send(self.status());
@@ -113,6 +118,7 @@
     }
 
     async fn request(&mut self) -> sync::Request {
+        let runs = self.runs().await;
         let targets = self.targets().await;
         let changed = targets != self.announced;
         self.announced.clone_from(&targets);
@@ -125,6 +131,8 @@
                 peer: options.advertised.unwrap_or(options.peer),
             },
             targets,
+            runs: runs.announced,
+            departed: runs.departed,
             loads: self.loads().await,
             held: self.view.version,
             // A changed announcement is not held, so that the next poll returns it to
@@ -134,6 +142,34 @@
         }
     }
 
+    /// Reports to the leader in a task of its own, unless it knows all departed runs.
+    async fn report(&mut self, reply: reply::Reply<bool>) {
+        let request = self.request().await;
+        if request.departed == self.recorded {
+            let _ = reply.send(true);
+            return;
+        }
+        let leader = leader::Leader::new(
+            self.context.contacts.clone(),
+            self.context.options.credential.clone(),
+            leader::CALL_TIMEOUT,
+        );
+        let own = self.context.own.clone();
+        drop(task::spawn(name::SYNC, async move {
+            let departed = request.departed.clone();
+            let recorded = poll::report(leader, request).await;
+            if recorded {
+                let _ = own.send(message::Message::Recorded(departed)).await;
+            }
+            let _ = reply.send(recorded);
+        }));
+    }
+
+    async fn runs(&self) -> local::runs::Runs {
+        let runs = self.context.target.ask(local::message::Message::Runs).await;
+        runs.unwrap_or_default()
+    }
+
     async fn loads(&self) -> Vec<sync::Load> {
         let ask = admission::message::Message::Status;
         let states = self.context.admission.ask(ask).await.unwrap_or_default();
--- a/crates/node/src/target/departed.rs
+++ b/crates/node/src/target/departed.rs
@@ -25,6 +25,11 @@
         self.started_ms = self.started_ms.max(Some(started_ms));
     }
 
+    /// Latest start of a run that is known to have withdrawn.
+    pub const fn started_ms(&self) -> Option<u64> {
+        self.started_ms
+    }
+
     /// Adds the run with this id that started at `until_ms` or earlier.
     pub fn add_unnamed(&mut self, id: Box<str>, until_ms: u64) {
         self.unnamed = Some(Unnamed { id, until_ms });
--- a/crates/node/src/target/message.rs
+++ b/crates/node/src/target/message.rs
@@ -5,7 +5,7 @@
 use masticarch_kernel::reply;
 use masticarch_model::{name, target};
 
-use super::{announcement, pool, withdrawal};
+use super::{announcement, pool, runs, withdrawal};
 
 /// Messages to the service that keeps the local targets.
 #[derive(Debug)]
@@ -21,6 +21,8 @@
     Leaving(name::Name, Option<Box<str>>, reply::Reply<()>),
     /// Lists the announced targets.
     List(reply::Reply<Vec<target::Target>>),
+    /// Lists the runs of the targets.
+    Runs(reply::Reply<runs::Runs>),
     /// Checks out a slot for a connection to a target; `None` when all connections
     /// that the target accepts are in use.
     Checkout(SocketAddr, reply::Reply<Option<pool::Slot>>),
--- a/crates/node/src/target/mod.rs
+++ b/crates/node/src/target/mod.rs
@@ -2,6 +2,7 @@
 //! requests there.
 
 pub mod announcement;
+pub mod change;
 mod departed;
 pub mod guard;
 pub mod instance;
@@ -9,5 +10,6 @@
 pub mod message;
 pub mod pool;
 pub mod run;
+pub mod runs;
 pub mod service;
 pub mod withdrawal;
--- a/crates/node/src/target/service.rs
+++ b/crates/node/src/target/service.rs
@@ -6,9 +6,9 @@
 
 use futures::future::{self, Either};
 use masticarch_kernel::{address, mailbox, stop};
-use masticarch_model::{map, name, target};
+use masticarch_model::{map, name, run, target};
 
-use super::{announcement, departed, message, pool, withdrawal};
+use super::{announcement, departed, message, pool, runs, withdrawal};
 use crate::{admission, quarantine};
 
 /// Default time after which a target that has not renewed its announcement is removed.
@@ -30,6 +30,9 @@
     /// The last run of each service that has stated that it is leaving; `None` if the
     /// target does not identify its runs.
     leaving: map::Map<name::Name, Option<Box<str>>>,
+    /// Start of the last run of each service that has announced or stated that it is
+    /// leaving.
+    leaving_runs: map::Map<name::Name, u64>,
     expiry: Duration,
     pools: map::Map<SocketAddr, pool::Pool>,
 }
@@ -48,6 +51,7 @@
         entries: map::Map::default(),
         departed: map::Map::default(),
         leaving: map::Map::default(),
+        leaving_runs: map::Map::default(),
         expiry,
         pools: map::Map::default(),
     };
@@ -81,6 +85,9 @@
             message::Message::List(reply) => {
                 let _ = reply.send(self.list());
             }
+            message::Message::Runs(reply) => {
+                let _ = reply.send(self.runs());
+            }
             message::Message::Checkout(address, reply) => {
                 let pool = self.pools.get_mut(&address);
                 let slot = pool.and_then(|pool| pool.checkout(Instant::now()));
@@ -96,6 +103,9 @@
         if self.is_outdated(&service, &announcement) {
             return;
         }
+        if announcement.state == target::State::Draining {
+            self.record_leaving(&service, &announcement);
+        }
         let max_connections = usize::try_from(announcement.connections).unwrap_or(usize::MAX);
         let current = self.entries.get(&service);
         let unchanged =
@@ -156,12 +166,21 @@
         }
         tracing::info!(%service, run = run.as_deref(), "target has stated that it is leaving");
         if let Some(current) = current {
+            self.record_leaving(&service, &current);
             let target = self.target(&service, &current);
             self.notify_quarantine(service, true).await;
             self.notify_admission(target, Some(current.address)).await;
         }
     }
 
+    /// Remembers which run is leaving, for the control leader.
+    fn record_leaving(&mut self, service: &name::Name, announcement: &announcement::Announcement) {
+        if let Some(instance) = &announcement.instance {
+            let started = self.leaving_runs.entry(service.clone()).or_default();
+            *started = instance.started_ms.max(*started);
+        }
+    }
+
     /// The target as it is published: as announced, but draining once its run has stated
     /// that it is leaving.
     fn target(
@@ -266,6 +285,32 @@
             .collect()
     }
 
+    fn runs(&self) -> runs::Runs {
+        let announced = self.entries.iter().filter_map(|(service, entry)| {
+            let instance = entry.announcement.instance.as_ref()?;
+            Some(run::Run {
+                service: service.clone(),
+                started_ms: instance.started_ms,
+            })
+        });
+        let withdrawn = self
+            .departed
+            .iter()
+            .filter_map(|(service, departed)| Some((service, departed.started_ms()?)));
+        let leaving = self.leaving_runs.iter();
+        let leaving = leaving.map(|(service, started)| (service, *started));
+        let departed = withdrawn
+            .chain(leaving)
+            .map(|(service, started_ms)| run::Run {
+                service: service.clone(),
+                started_ms,
+            });
+        runs::Runs {
+            announced: announced.collect(),
+            departed: departed.collect(),
+        }
+    }
+
     fn checkin(&mut self, address: SocketAddr, slot: pool::Slot) {
         if let Some(pool) = self.pools.get_mut(&address) {
             pool.checkin(slot);
--- a/crates/node/tests/common/control.rs
+++ b/crates/node/tests/common/control.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use masticarch_model::{
-    access, claim, configuration, map, name, node, priority, route, settlement, target, view,
+    access, catalog, claim, command, configuration, map, name, priority, route, settlement, view,
 };
 use masticarch_wire::masticarch_capnp::member;
 use masticarch_wire::message::{claim as claims, lease, sync};
@@ -20,6 +20,8 @@
 #[derive(Default)]
 struct State {
     view: view::View,
+    /// Keeps the departures that nodes report.
+    catalog: catalog::Catalog,
     claims: map::Map<claim::Subject, claim::Claim>,
 }
 
@@ -81,10 +83,21 @@
 }
 
 impl State {
-    fn report(&mut self, node: &node::Node, targets: &[target::Target]) {
+    fn report(&mut self, request: sync::Request) {
+        let sync::Request {
+            node,
+            targets,
+            runs,
+            departed,
+            ..
+        } = request;
+        let index = self.catalog.version().0 + 1;
+        let depart = command::Command::Depart(node.name.clone(), departed);
+        self.catalog.apply(index, depart);
+        let targets = self.catalog.without_departed(&node.name, targets, &runs);
         let entry = view::Entry {
             node: node.clone(),
-            targets: targets.to_vec(),
+            targets,
         };
         if self.view.nodes.contains(&entry) {
             return;
@@ -146,13 +159,14 @@
         mut results: member::SyncResults,
     ) -> Result<(), capnp::Error> {
         let request: sync::Request = message::decode(params.get()?.get_request()?).unwrap();
-        self.0.borrow_mut().report(&request.node, &request.targets);
-        let newer = self.0.borrow().view.version > request.held;
+        let held = request.held;
+        self.0.borrow_mut().report(request);
+        let newer = self.0.borrow().view.version > held;
         if !newer {
             monoio::time::sleep(HOLD_TIME).await;
         }
         let view = self.0.borrow().view.clone();
-        let reply = if view.version > request.held {
+        let reply = if view.version > held {
             sync::Reply::Snapshot(Box::new(view))
         } else {
             sync::Reply::Deltas(view.version, Vec::new())
--- a/crates/node/tests/common/fleet.rs
+++ b/crates/node/tests/common/fleet.rs
@@ -176,10 +176,15 @@
 
     /// Withdraws the target; the body may name the run.
     pub fn withdraw(&self, body: &str) {
-        let answer = change_target(self.admin, "DELETE", body).unwrap();
+        let answer = self.try_withdraw(body);
         assert!(answer.contains("204"), "{answer}");
     }
 
+    /// As [`Node::withdraw`]; returns the answer, whatever it is.
+    pub fn try_withdraw(&self, body: &str) -> String {
+        change_target(self.admin, "DELETE", body).unwrap()
+    }
+
     /// Announces a target without renewing the announcement.
     pub fn announce_once(&self, target: &target::Target, connections: u32) {
         assert!(announce(
--- a/crates/node/tests/notices.rs
+++ b/crates/node/tests/notices.rs
@@ -208,3 +208,19 @@
     assert_eq!(target.requests.load(Ordering::SeqCst), 0);
     assert!(answer.starts_with("HTTP/1.1 204 "), "{answer}");
 }
+
+// Guards against a leaving that is acknowledged although only this process knows of it,
+// and that is forgotten if the process is killed.
+#[test]
+fn leaving_is_not_acknowledged_before_control_has_recorded_it() {
+    let far = fleet::node("far", fleet::address());
+    let target = target::start(target::answering(LIMITED));
+    far.announce_state(&target, 1, "serving");
+
+    let begun = Instant::now();
+    let answer = far.try_withdraw(r#"{"id":"i-1","started_ms":1}"#);
+    let waited = begun.elapsed();
+
+    assert!(answer.contains("masticarch-reason: no_quorum"), "{answer}");
+    assert!(waited < Duration::from_secs(1), "{waited:?}");
+}
--- a/crates/wire/src/message/sync.rs
+++ b/crates/wire/src/message/sync.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use masticarch_model::{delta, name, node, target, version, view};
+use masticarch_model::{delta, name, node, run, target, version, view};
 use serde::{Deserialize, Serialize};
 
 /// Load of a target, as admission control at its node measures it.
@@ -26,6 +26,10 @@
     pub node: node::Node,
     /// All targets on its VM.
     pub targets: Vec<target::Target>,
+    /// Runs of those targets that identify them.
+    pub runs: Vec<run::Run>,
+    /// Runs of targets on its VM that are leaving or gone, as far as it knows.
+    pub departed: Vec<run::Run>,
     /// Current load of these targets, shown to operators.
     pub loads: Vec<Load>,
     /// Version of the view that the node holds; 0 when it holds none.
