End a remembered rate limit by whole answers only

Cause: entry nodes took a refusal of the restarted node, which knows nothing of its target yet, for the end of the limit that they remember for it.

Ruled out: a limit that is learnt and not applied; a node that learns one writes "rate limit learnt from another node", and was told none.

Change: a limit ends with a whole answer without one, as a leaving does.

Test: refusal_of_a_restarted_node_does_not_end_a_statement failed before.

--- a/crates/node/src/gate/statements.rs
+++ b/crates/node/src/gate/statements.rs
@@ -37,10 +37,11 @@
         // answers on different connections overtake each other.
         let sent = now.checked_sub(report.latency).unwrap_or(now);
         let is_later = known.is_none_or(|known| known.recorded <= sent);
-        // Without a load report nothing is known of the rate limit either.
-        let ends_limit = report.limit.is_some() && is_later;
-        // A whole answer that does not mention a leaving comes from another run.
+        // Only a whole answer shows what the target states. A refusal of its node does not:
+        // a node that has just started knows nothing of the target yet.
         let ends_leaving = report.status.is_some() && is_later;
+        // Without a load report nothing is known of the rate limit.
+        let ends_limit = ends_leaving && report.limit.is_some();
         let kept_limit = known.filter(|_| !ends_limit);
         let kept_leaving = known.filter(|_| !ends_leaving);
         let rate_limit = report
--- a/crates/node/tests/gate.rs
+++ b/crates/node/tests/gate.rs
@@ -477,6 +477,35 @@
     assert_eq!(choice.leaving.as_deref(), Some("1-i"));
 }
 
+// Guards against a rate limit that is forgotten because the target's node has restarted
+// and refuses requests before it knows what the target states.
+#[test]
+fn refusal_of_a_restarted_node_does_not_end_a_statement() {
+    let choice = fixture::with_gate(true, &fixture::view(1, 1), |gate| async move {
+        let request = || fixture::request("/open", None);
+        let first = gate.begin(request()).await.unwrap();
+        let stating = report::Report {
+            limit: Some((10, 1)),
+            rate_limit: Some(5.0),
+            leaving: Some("1-i".into()),
+            ..fixture::answered(&first.choice)
+        };
+        gate.end(&first, Some(stating)).await;
+        monoio::time::sleep(Duration::from_millis(300)).await;
+        let second = gate.begin(request()).await.unwrap();
+        let without_target = report::Report {
+            limit: Some((0, 0)),
+            ..refused(&second.choice)
+        };
+        gate.end(&second, Some(without_target)).await;
+        monoio::time::sleep(Duration::from_millis(300)).await;
+        gate.begin(request()).await.unwrap().choice
+    });
+
+    assert_eq!(choice.rate_limit, Some(5.0));
+    assert_eq!(choice.leaving.as_deref(), Some("1-i"));
+}
+
 // Guards against a statement that outlives the run that made it.
 #[test]
 fn later_answer_ends_a_statement() {
