Bound the deltas for nodes by the objects that they change

A control process kept the last 20,000 deltas whatever their size. Some hundred changes that each replace most of a large configuration would exceed its memory.

Change: the deltas kept change at most 100,000 objects together. A node that lacks more gets the whole view, which is smaller.

--- a/crates/model/src/catalog/delta_log.rs
+++ b/crates/model/src/catalog/delta_log.rs
@@ -2,18 +2,24 @@
 
 use std::collections::VecDeque;
 
-use crate::{delta, version};
+use crate::{delta, edit, version};
 
 /// Most deltas that are kept. With 10,000 configuration changes and 1,200 restarts
 /// a day, they cover more than a day.
 pub const MAX_DELTAS: usize = 20_000;
 
+/// Most objects that the kept deltas change together: ten times a whole configuration at
+/// the design target, some 50 MB. Nodes that lack more get the whole view.
+pub const MAX_OBJECTS: usize = 100_000;
+
 /// The latest published deltas with their versions, oldest first.
 #[derive(Clone, Debug, Default)]
 pub struct DeltaLog {
     /// Version after which all deltas are kept.
     floor: version::Version,
     entries: VecDeque<(version::Version, delta::Delta)>,
+    /// Objects that `entries` change together.
+    objects: usize,
 }
 
 impl DeltaLog {
@@ -22,15 +28,19 @@
         Self {
             floor,
             entries: VecDeque::new(),
+            objects: 0,
         }
     }
 
-    /// Appends a delta, and drops the oldest above [`MAX_DELTAS`].
+    /// Appends a delta, and drops the oldest above [`MAX_DELTAS`] and [`MAX_OBJECTS`].
     pub fn push(&mut self, version: version::Version, delta: delta::Delta) {
+        self.objects += objects(&delta);
         self.entries.push_back((version, delta));
-        if self.entries.len() > MAX_DELTAS
-            && let Some((dropped, _)) = self.entries.pop_front()
-        {
+        while self.entries.len() > MAX_DELTAS || self.objects > MAX_OBJECTS {
+            let Some((dropped, delta)) = self.entries.pop_front() else {
+                return;
+            };
+            self.objects -= objects(&delta);
             self.floor = dropped;
         }
     }
@@ -54,3 +64,15 @@
         Some(newer.map(|(_, delta)| delta.clone()).collect())
     }
 }
+
+/// Number of objects that a delta changes.
+fn objects(delta: &delta::Delta) -> usize {
+    let delta::Delta::Configuration(_, edits) = delta else {
+        return 1;
+    };
+    let objects = edits.iter().map(|edit| match edit {
+        edit::Edit::Replace(whole) => whole.objects().count(),
+        edit::Edit::Put(_) | edit::Edit::Delete(..) => 1,
+    });
+    objects.sum()
+}
--- a/crates/model/tests/catalog.rs
+++ b/crates/model/tests/catalog.rs
@@ -3,8 +3,8 @@
 mod fixture;
 
 use masticarch_model::{
-    answer, attempt, catalog, claim, code, command, delta, edit, incarnation, kind, outcome, run,
-    settlement, target, version,
+    answer, attempt, catalog, claim, code, command, delta, edit, incarnation, kind, outcome, route,
+    run, settlement, target, version,
 };
 use rstest::rstest;
 
@@ -236,6 +236,38 @@
     );
 }
 
+// Guards against deltas that are bounded by their number only: some hundred changes of a
+// large configuration took more memory than a control process has.
+#[test]
+fn deltas_of_large_changes_are_kept_up_to_a_number_of_objects() {
+    const ROUTES: u64 = 1_000;
+    const CHANGES: u64 = 150;
+    let mut log = Log::new();
+    for id in 1..=CHANGES {
+        let mut whole = configuration();
+        let route = whole.routes[0].clone();
+        whole.routes = (0..ROUTES)
+            .map(|number| route::Route {
+                name: format!("route-{number}").as_str().into(),
+                path: format!("/{number}/{id}").into(),
+                ..route.clone()
+            })
+            .collect();
+        let edits = vec![edit::Edit::Replace(whole)];
+        log.apply(change(u128::from(id), id - 1, edits));
+    }
+
+    let kept = (0..=CHANGES).find(|held| {
+        let deltas = log.catalog.deltas_since(version::Version(*held));
+        *held > 0 && deltas.is_some()
+    });
+    let held = kept.expect("the newest deltas are kept");
+    let objects = (CHANGES - held) * ROUTES;
+
+    assert!(objects <= 100_000, "{objects} objects");
+    assert!(objects > 95_000, "{objects} objects");
+}
+
 // Guards against delayed messages of a replaced incarnation that change the node,
 // its targets or its membership.
 #[test]
