Let a target call off a drain that control has recorded

Since a run that had announced a drain stayed draining for good, also if it announced later that it serves again, which was taken before. Departures now hold the sequence number of the announcement, and a later one of the same run is not covered by them. A withdrawal and a leaving stated in an answer stay final.

Tests: drain_that_is_called_off_is_over; it was not run against.

--- a/crates/control/tests/old_data.rs
+++ b/crates/control/tests/old_data.rs
@@ -65,6 +65,7 @@
     let run = run::Run {
         service: "guiones".into(),
         started_ms: 1,
+        sequence: 1,
     };
     let targets = catalog.without_departed(&"one".into(), view.nodes[0].targets.clone(), &[run]);
     assert_eq!(targets, view.nodes[0].targets);
--- a/crates/control/tests/ports.rs
+++ b/crates/control/tests/ports.rs
@@ -243,6 +243,7 @@
         let departed = model_run::Run {
             service: "alertas".into(),
             started_ms: 20,
+            sequence: 5,
         };
         let mut leaving = poll(&node("alertas-1", 7), 0);
         leaving.departed = vec![departed.clone()];
--- a/crates/model/src/catalog/departures.rs
+++ b/crates/model/src/catalog/departures.rs
@@ -30,7 +30,8 @@
         let known = self.runs.entry(node).or_default();
         for run in departed {
             match known.iter_mut().find(|known| known.service == run.service) {
-                Some(known) => known.started_ms = known.started_ms.max(run.started_ms),
+                Some(known) if known.order() < run.order() => *known = run,
+                Some(_) => {}
                 None => known.push(run),
             }
         }
@@ -41,12 +42,13 @@
         }
     }
 
-    /// Whether a run at a node has departed, or ended before one that has.
+    /// Whether a run at a node has departed, or ended before one that has. One that
+    /// announces later that it serves again has not.
     pub fn contains(&self, node: &name::Name, run: &run::Run) -> bool {
         let known = self.runs.get(node).into_iter().flatten();
         known
             .filter(|known| known.service == run.service)
-            .any(|known| run.started_ms <= known.started_ms)
+            .any(|known| run.order() <= known.order())
     }
 
     /// Marks the targets of departed runs as draining. `runs` are those of the targets
--- a/crates/node/src/target/service.rs
+++ b/crates/node/src/target/service.rs
@@ -30,9 +30,8 @@
     /// The last run of each service that has stated that it is leaving; `None` if the
     /// target does not identify its runs.
     leaving: map::Map<name::Name, Option<Box<str>>>,
-    /// Start of the last run of each service that has announced or stated that it is
-    /// leaving.
-    leaving_runs: map::Map<name::Name, u64>,
+    /// The last run of each service that has announced or stated that it is leaving.
+    leaving_runs: map::Map<name::Name, run::Run>,
     expiry: Duration,
     pools: map::Map<SocketAddr, pool::Pool>,
 }
@@ -103,8 +102,9 @@
         if self.is_outdated(&service, &announcement) {
             return;
         }
-        if announcement.state == target::State::Draining {
-            self.record_leaving(&service, &announcement);
+        match announcement.state {
+            target::State::Draining => self.record_leaving(&service, &announcement, None),
+            target::State::Serving => self.end_leaving(&service),
         }
         let max_connections = usize::try_from(announcement.connections).unwrap_or(usize::MAX);
         let current = self.entries.get(&service);
@@ -166,18 +166,43 @@
         }
         tracing::info!(%service, run = run.as_deref(), "target has stated that it is leaving");
         if let Some(current) = current {
-            self.record_leaving(&service, &current);
+            self.record_leaving(&service, &current, Some(run::Run::OVER));
             let target = self.target(&service, &current);
             self.notify_quarantine(service, true).await;
             self.notify_admission(target, Some(current.address)).await;
         }
     }
 
-    /// Remembers which run is leaving, for the control leader.
-    fn record_leaving(&mut self, service: &name::Name, announcement: &announcement::Announcement) {
-        if let Some(instance) = &announcement.instance {
-            let started = self.leaving_runs.entry(service.clone()).or_default();
-            *started = instance.started_ms.max(*started);
+    /// Remembers from which announcement on a run is leaving, for the control leader.
+    fn record_leaving(
+        &mut self,
+        service: &name::Name,
+        announcement: &announcement::Announcement,
+        sequence: Option<u64>,
+    ) {
+        let Some(instance) = &announcement.instance else {
+            return;
+        };
+        let sequence = sequence.unwrap_or(instance.sequence);
+        let known = self.leaving_runs.get(service);
+        let is_known = known.is_some_and(|known| {
+            known.started_ms == instance.started_ms && sequence != run::Run::OVER
+        });
+        if !is_known {
+            let run = run::Run {
+                service: service.clone(),
+                started_ms: instance.started_ms,
+                sequence,
+            };
+            self.leaving_runs.insert(service.clone(), run);
+        }
+    }
+
+    /// Forgets a drain that the target has called off.
+    fn end_leaving(&mut self, service: &name::Name) {
+        let known = self.leaving_runs.get(service);
+        if known.is_some_and(|known| known.sequence != run::Run::OVER) {
+            self.leaving_runs.remove(service);
         }
     }
 
@@ -291,23 +316,21 @@
             Some(run::Run {
                 service: service.clone(),
                 started_ms: instance.started_ms,
+                sequence: instance.sequence,
             })
         });
-        let withdrawn = self
-            .departed
-            .iter()
-            .filter_map(|(service, departed)| Some((service, departed.started_ms()?)));
-        let leaving = self.leaving_runs.iter();
-        let leaving = leaving.map(|(service, started)| (service, *started));
-        let departed = withdrawn
-            .chain(leaving)
-            .map(|(service, started_ms)| run::Run {
+        let withdrawn = self.departed.iter().filter_map(|(service, departed)| {
+            Some(run::Run {
                 service: service.clone(),
-                started_ms,
-            });
+                started_ms: departed.started_ms()?,
+                sequence: run::Run::OVER,
+            })
+        });
         runs::Runs {
             announced: announced.collect(),
-            departed: departed.collect(),
+            departed: withdrawn
+                .chain(self.leaving_runs.values().cloned())
+                .collect(),
         }
     }
 
--- a/crates/node/tests/notices.rs
+++ b/crates/node/tests/notices.rs
@@ -224,3 +224,20 @@
     assert!(answer.contains("masticarch-reason: no_quorum"), "{answer}");
     assert!(waited < Duration::from_secs(1), "{waited:?}");
 }
+
+// Guards against a target that calls a drain off and gets nothing more.
+#[test]
+fn drain_that_is_called_off_is_over() {
+    let control = fleet::control();
+    let near = fleet::node("near", control);
+    let far = fleet::node("far", control);
+    let target = target::start(target::answering("HTTP/1.1 204 No Content\r\n\r\n"));
+    far.announce_state(&target, 1, "draining");
+
+    far.announce_state(&target, 2, "serving");
+    near.wait_for_target();
+    thread::sleep(Duration::from_millis(300));
+    let answer = client::exchange(near.caller, &client::get("/guiones", ""));
+
+    assert!(answer.starts_with("HTTP/1.1 204 "), "{answer}");
+}
