Let requests run until the last answers of a stopping node

Since the deadline of requests that arrive during a stop was cut to the end of the drain, although those in flight go on for most of the stop limit after it. It is now cut to the moment at which the final answers are sent, so that no answer is lost that was delivered before. Tests: the two of crates/node/tests/shutdown.rs, which now expect that moment.

--- a/crates/node/src/role.rs
+++ b/crates/node/src/role.rs
@@ -78,8 +78,9 @@
     stop.wait().await;
     drain(&services).await;
     let limit = services.options.stop_limit;
+    let cutoff_delay = cutoff_delay(&services.options);
     drop(task::spawn(name::CALLER, async move {
-        monoio::time::sleep(limit.mul_f64(CUTOFF_RATIO)).await;
+        monoio::time::sleep(cutoff_delay).await;
         drop(cutoff_sender);
     }));
     let stopping = kernel.shutdown(STOP_TIMEOUT.min(limit));
@@ -98,6 +99,7 @@
     let rest = DRAIN_PROPAGATION.saturating_sub(options.linger);
     let limit = options.drain_limit.saturating_sub(options.linger);
     let whole = options.linger.saturating_add(rest).saturating_add(limit);
+    let whole = whole.saturating_add(cutoff_delay(options));
     if let Some(ends) = Instant::now().checked_add(whole) {
         let gate = gate::message::Message::ShutDown(ends);
         let _ = services.gate.send(gate).await;
@@ -117,6 +119,11 @@
     }
 }
 
+/// Time from the end of the drain to the final answers of requests still in flight.
+fn cutoff_delay(options: &options::Options) -> Duration {
+    options.stop_limit.mul_f64(CUTOFF_RATIO)
+}
+
 /// Starts the services that own state.
 fn start_stateful<P: Protocol>(
     kernel: &mut kernel::Kernel,
