--- a/crates/agreement/src/slot.rs
+++ b/crates/agreement/src/slot.rs
@@ -7,7 +7,7 @@
 pub struct Slot {
     /// The entry itself.
     pub entry: entry::Entry,
-    /// Size of all entries up to this one, in bytes, counted from the entry after
-    /// which the log was begun.
+    /// Running total of the sizes in bytes, this entry included. The difference of two
+    /// totals is the size of the entries between them.
     pub end: u64,
 }
--- a/crates/control/src/agreement/service.rs
+++ b/crates/control/src/agreement/service.rs
@@ -31,7 +31,6 @@
 /// Maximum number of messages handled together, so that they share a write and a
 /// round.
 const MAX_BATCH_MESSAGES: usize = 256;
-
 /// Size in bytes of the messages to one member in one turn from which on they are logged.
 const LOGGED_BYTES: usize = 1 << 20;
 
--- a/crates/model/src/catalog/delta_log.rs
+++ b/crates/model/src/catalog/delta_log.rs
@@ -8,8 +8,8 @@
 /// a day, they cover more than a day.
 pub const MAX_DELTAS: usize = 20_000;
 
-/// Most objects that the kept deltas change together: ten times a whole configuration at
-/// the design target, some 50 MB. Nodes that lack more get the whole view.
+/// Most objects that the kept deltas change together, because one delta may replace the
+/// whole configuration. Nodes that lack more get the whole view.
 pub const MAX_OBJECTS: usize = 100_000;
 
 /// The latest published deltas with their versions, oldest first.
