Decode the entries of the log as they are read

Ruled out: the segments' buffers, which are 8 MiB each.

Change: the store hands each entry to a decoder while it replays the log, and keeps what the decoder returns.

--- a/crates/agreement/src/payload.rs
+++ b/crates/agreement/src/payload.rs
@@ -19,7 +19,8 @@
 
 impl Payload {
     /// Approximate size in a message, in bytes.
-    pub(crate) fn size(&self) -> usize {
+    #[must_use]
+    pub fn size(&self) -> usize {
         match self {
             Self::Empty => 0,
             Self::Command(bytes) => bytes.len(),
--- a/crates/control/src/journal.rs
+++ b/crates/control/src/journal.rs
@@ -100,7 +100,8 @@
         if options.new {
             create(&directory, options)?;
         }
-        let opened = store::Store::open(directory, store_options::Options::default());
+        let options_of_store = store_options::Options::default();
+        let opened = store::Store::open_with(directory, options_of_store, decode_entry);
         let (store, contents) = opened.map_err(lost_if_empty)?;
         let found = wire::decode(&contents.identity)?;
         if found != options.id {
@@ -183,8 +184,8 @@
     }
 }
 
-fn log_sizes(contents: &contents::Contents) {
-    let sizes = contents.entries.iter().map(|entry| entry.payload.len());
+fn log_sizes(contents: &contents::Contents<raft_entry::Entry>) {
+    let sizes = contents.entries.iter().map(|entry| entry.payload.size());
     tracing::info!(
         entries = contents.entries.len(),
         entry_bytes = sizes.sum::<usize>(),
@@ -193,19 +194,24 @@
     );
 }
 
-/// Decodes the contents of the data directory. Each entry is freed once it is
-/// decoded, so that the log is in memory only once.
-fn decode(contents: contents::Contents) -> Result<recovered::Recovered, Error> {
+fn decode_entry(entry: entry::Entry) -> Option<raft_entry::Entry> {
+    let entry::Entry { index, payload } = entry;
+    let decoded = wire::decode(&payload);
+    drop(payload);
+    decoded
+        .inspect_err(|error| tracing::error!(index, %error, "entry cannot be decoded"))
+        .ok()
+}
+
+fn decode(contents: contents::Contents<raft_entry::Entry>) -> Result<recovered::Recovered, Error> {
     let vote = contents.vote.as_deref().map(wire::decode).transpose()?;
     let stored: Stored = wire::decode(&contents.snapshot.payload)?;
-    let decode_entry = |entry: entry::Entry| wire::decode(&entry.payload);
-    let entries = contents.entries.into_iter().map(decode_entry);
     Ok(recovered::Recovered {
         vote: vote.unwrap_or_default(),
         snapshot: raft_snapshot::Snapshot {
             meta: stored.meta,
             data: stored.data,
         },
-        entries: entries.collect::<Result<Vec<_>, _>>()?,
+        entries: contents.entries,
     })
 }
--- a/crates/store/src/segment.rs
+++ b/crates/store/src/segment.rs
@@ -1,6 +1,6 @@
 //! Segments of the log.
 
-use crate::{batch, disk, error, record, replay};
+use crate::{batch, disk, entry, error, record, replay};
 
 /// Start of the file names of segments.
 const PREFIX: &str = "log-";
@@ -39,11 +39,11 @@
 
     /// Reads a segment and replays its batches. Only the last segment can have a
     /// torn tail, which is removed.
-    pub fn load<D: disk::Disk>(
+    pub fn load<D: disk::Disk, T, F: Fn(entry::Entry) -> Option<T>>(
         number: u64,
         is_last: bool,
         disk: &D,
-        replay: &mut replay::Replay,
+        replay: &mut replay::Replay<T, F>,
     ) -> Result<Self, error::Error> {
         let mut segment = Self::new(number);
         let name = segment.name();
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -1,6 +1,8 @@
 //! The blocking store.
 
-use crate::{batch, contents, disk, error, options, record, replay, request, segment, snapshot};
+use crate::{
+    batch, contents, disk, entry, error, options, record, replay, request, segment, snapshot,
+};
 
 /// File of the identity. It is written once, as the last file at creation.
 const IDENTITY: &str = "identity";
@@ -54,6 +56,19 @@
         disk: D,
         options: options::Options,
     ) -> Result<(Self, contents::Contents), error::Error> {
+        Self::open_with(disk, options, Some)
+    }
+
+    /// Opens a data directory as [`Store::open`] does. `decode` gets each entry as it is
+    /// read; `None` means that the entry is damaged.
+    ///
+    /// # Errors
+    /// As [`Store::open`].
+    pub fn open_with<T>(
+        disk: D,
+        options: options::Options,
+        decode: impl Fn(entry::Entry) -> Option<T>,
+    ) -> Result<(Self, contents::Contents<T>), error::Error> {
         let names = list(&disk)?;
         if !names.iter().any(|name| name == IDENTITY) {
             return Err(error::Error::Empty);
@@ -63,7 +78,7 @@
         let has_vote = names.iter().any(|name| name == VOTE);
         let vote = has_vote.then(|| load_file(&disk, VOTE)).transpose()?;
         let snapshot = load_snapshot(&disk)?;
-        let mut replay = replay::Replay::new(snapshot.index);
+        let mut replay = replay::Replay::new(snapshot.index, decode);
         let segments = load_segments(&disk, &names, &mut replay)?;
         let (segments, file) = open_last(&disk, segments)?;
         let entries = replay.finish().ok_or_else(|| missing_entries(&segments))?;
@@ -231,10 +246,10 @@
     snapshot::Snapshot::decode(&bytes).ok_or_else(corrupt)
 }
 
-fn load_segments<D: disk::Disk>(
+fn load_segments<D: disk::Disk, T, F: Fn(entry::Entry) -> Option<T>>(
     disk: &D,
     names: &[String],
-    replay: &mut replay::Replay,
+    replay: &mut replay::Replay<T, F>,
 ) -> Result<Vec<segment::Segment>, error::Error> {
     let mut numbers: Vec<u64> = names
         .iter()
