--- a/crates/node/src/links/probe.rs
+++ b/crates/node/src/links/probe.rs
@@ -36,11 +36,11 @@
     Ended,
 }
 
-/// What a probe shows of a generation.
+/// Why a generation is not probed any more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Finding {
-    /// The node has answered on the probed connection.
-    Alive,
+enum End {
+    /// No exchange uses it.
+    Unused,
     /// The node answers on a new connection, but not on the probed one.
     Silent,
     /// The probed connection has closed, which shows nothing of the others.
@@ -79,13 +79,13 @@
 /// options of [`masticarch_wire::socket`] end each that has gone silent itself.
 pub async fn run(mut generation: Generation) {
     match generation.watch().await {
-        Finding::Alive => {}
-        Finding::Silent => tracing::warn!(
+        End::Unused => {}
+        End::Silent => tracing::warn!(
             peer = %generation.peer,
             exchanges = generation.in_use.strong_count(),
             "connections to a node have gone silent; the exchanges on them end"
         ),
-        Finding::Closed => {
+        End::Closed => {
             tracing::info!(
                 peer = %generation.peer,
                 exchanges = generation.in_use.strong_count(),
@@ -98,48 +98,47 @@
 }
 
 impl Generation {
-    /// Probes the generation until it has ended, is silent or cannot be probed any more.
-    async fn watch(&mut self) -> Finding {
+    /// Probes the generation for as long as that is possible and of use.
+    async fn watch(&mut self) -> End {
         let mut connection = match open::open(self.peer, &self.credential).await {
             Ok(connection) => connection,
             Err(error::Error::Timeout) => {
                 self.suspect().await;
-                return Finding::Closed;
+                return End::Closed;
             }
-            Err(_) => return Finding::Closed,
+            Err(_) => return End::Closed,
         };
         loop {
             monoio::time::sleep(INTERVAL).await;
             let due = |reply| message::Message::IsProbeDue(self.peer, self.number, reply);
             match self.links.ask(due).await {
                 Ok(Due::Later) => continue,
-                Ok(Due::Ended) if self.in_use.strong_count() == 0 => return Finding::Alive,
+                Ok(Due::Ended) if self.in_use.strong_count() == 0 => return End::Unused,
                 Ok(Due::Now | Due::Ended) => {}
-                Err(_) => return Finding::Alive,
+                Err(_) => return End::Unused,
             }
-            let finding = self.check(&mut connection).await;
-            if finding != Finding::Alive {
-                return finding;
+            if let Err(end) = self.check(&mut connection).await {
+                return end;
             }
             let alive = message::Message::Alive(self.peer, self.number);
             if self.links.send(alive).await.is_err() {
-                return Finding::Alive;
+                return End::Unused;
             }
         }
     }
 
-    /// Sends a probe and waits until it is known what it shows.
-    async fn check(&mut self, connection: &mut message::Connection) -> Finding {
+    /// Sends a probe and waits until it is known whether the connections are alive.
+    async fn check(&mut self, connection: &mut message::Connection) -> Result<(), End> {
         let mut answer = std::pin::pin!(probe(connection));
         if let Ok(answered) = monoio::time::timeout(TIMEOUT, answer.as_mut()).await {
-            return finding(answered);
+            return alive_if(answered);
         }
         self.suspect().await;
         match race::race(answer.as_mut(), self.new_connection_answers()).await {
-            Either::Left(answered) => finding(answered),
+            Either::Left(answered) => alive_if(answered),
             Either::Right(()) => monoio::time::timeout(OVERTAKING_MARGIN, answer)
                 .await
-                .map_or(Finding::Silent, finding),
+                .map_or(Err(End::Silent), alive_if),
         }
     }
 
@@ -176,12 +175,8 @@
     }
 }
 
-const fn finding(answered: bool) -> Finding {
-    if answered {
-        Finding::Alive
-    } else {
-        Finding::Closed
-    }
+const fn alive_if(answered: bool) -> Result<(), End> {
+    if answered { Ok(()) } else { Err(End::Closed) }
 }
 
 /// Whether a probe is answered; false when the connection closes.
--- a/crates/node/src/role.rs
+++ b/crates/node/src/role.rs
@@ -98,8 +98,10 @@
     let options = &services.options;
     let rest = DRAIN_PROPAGATION.saturating_sub(options.linger);
     let limit = options.drain_limit.saturating_sub(options.linger);
-    let whole = options.linger.saturating_add(rest).saturating_add(limit);
-    let whole = whole.saturating_add(cutoff_delay(options));
+    let parts = [options.linger, rest, limit, cutoff_delay(options)];
+    let whole = parts
+        .into_iter()
+        .fold(Duration::ZERO, Duration::saturating_add);
     if let Some(ends) = Instant::now().checked_add(whole) {
         let gate = gate::message::Message::ShutDown(ends);
         let _ = services.gate.send(gate).await;
--- a/crates/node/src/target/service.rs
+++ b/crates/node/src/target/service.rs
@@ -25,12 +25,13 @@
     admission: address::Address<admission::message::Message>,
     quarantine: address::Address<quarantine::message::Message>,
     entries: map::Map<name::Name, Entry>,
-    /// The runs of each service that have withdrawn.
+    /// The runs of each service that have withdrawn, whose later announcements are ignored.
     departed: map::Map<name::Name, departed::Departed>,
     /// The last run of each service that has stated that it is leaving; `None` if the
     /// target does not identify its runs.
     leaving: map::Map<name::Name, Option<Box<str>>>,
-    /// The last run of each service that has announced or stated that it is leaving.
+    /// The last run of each service that has announced or stated that it is leaving, as the
+    /// control leader is told of it. It still renews its announcement.
     leaving_runs: map::Map<name::Name, run::Run>,
     expiry: Duration,
     pools: map::Map<SocketAddr, pool::Pool>,
