--- a/crates/agreement/src/payload.rs
+++ b/crates/agreement/src/payload.rs
@@ -19,8 +19,7 @@
 
 impl Payload {
     /// Approximate size in a message, in bytes.
-    #[must_use]
-    pub fn size(&self) -> usize {
+    pub(crate) fn size(&self) -> usize {
         match self {
             Self::Empty => 0,
             Self::Command(bytes) => bytes.len(),
--- a/crates/agreement/src/recovered.rs
+++ b/crates/agreement/src/recovered.rs
@@ -13,3 +13,12 @@
     /// The entries after the snapshot, without gaps.
     pub entries: Vec<entry::Entry>,
 }
+
+impl Recovered {
+    /// Size of the entries in bytes.
+    #[must_use]
+    pub fn entry_bytes(&self) -> usize {
+        let sizes = self.entries.iter().map(|entry| entry.payload.size());
+        sizes.sum()
+    }
+}
--- a/crates/control/src/journal.rs
+++ b/crates/control/src/journal.rs
@@ -107,7 +107,6 @@
         if found != options.id {
             return Err(Error::Identity(found));
         }
-        log_sizes(&contents);
         let recovered = decode(contents)?;
         let (writer, completions) = writer::Writer::start(store)?;
         Ok(Self {
@@ -184,16 +183,6 @@
     }
 }
 
-fn log_sizes(contents: &contents::Contents<raft_entry::Entry>) {
-    let sizes = contents.entries.iter().map(|entry| entry.payload.size());
-    tracing::info!(
-        entries = contents.entries.len(),
-        entry_bytes = sizes.sum::<usize>(),
-        snapshot_bytes = contents.snapshot.payload.len(),
-        "data directory read"
-    );
-}
-
 fn decode_entry(entry: entry::Entry) -> Option<raft_entry::Entry> {
     let entry::Entry { index, payload } = entry;
     let decoded = wire::decode(&payload);
--- a/crates/control/src/role.rs
+++ b/crates/control/src/role.rs
@@ -63,12 +63,15 @@
     let options = bootstrap::resolve(options).map_err(error::Error::Journal)?;
     let listeners = Listeners::open(&options)?;
     let journal = journal::Journal::open(&options)?;
+    let entries = journal.recovered.entries.len();
+    let entry_bytes = journal.recovered.entry_bytes();
+    let snapshot_bytes = journal.recovered.snapshot.data.len();
     let mut kernel = kernel::Kernel::new();
     let (failure_sender, failure) = stop::Stop::new();
     let services = start_services(&mut kernel, &options, journal, failure_sender)?;
     start_listeners(&mut kernel, listeners, &services, options);
     extend(&mut kernel, &services)?;
-    tracing::info!("control role started");
+    tracing::info!(entries, entry_bytes, snapshot_bytes, "control role started");
     let failed = futures::select_biased! {
         () = stop.wait().fuse() => false,
         () = failure.wait().fuse() => true,
--- a/crates/control/tests/large_entries.rs
+++ b/crates/control/tests/large_entries.rs
@@ -2,7 +2,6 @@
 
 mod group;
 
-use masticarch_agreement::payload;
 use masticarch_control::journal;
 use masticarch_kernel::runtime;
 use masticarch_model::member;
@@ -50,11 +49,7 @@
     })
     .unwrap();
 
-    let sizes = recovered.entries.iter().map(|entry| match &entry.payload {
-        payload::Payload::Command(command) => command.len(),
-        _ => 0,
-    });
-    let bytes: usize = sizes.sum();
+    let bytes = recovered.entry_bytes();
     assert!(bytes <= MAX_LOG_BYTES, "{bytes} bytes of entries");
     let last = u8::try_from(COMMANDS - 1).unwrap();
     assert_eq!(state.len(), COMMAND_BYTES);
