--- a/crates/node/tests/gate.rs
+++ b/crates/node/tests/gate.rs
@@ -33,6 +33,16 @@
     }
 }
 
+/// The report on an attempt whose target states a rate limit and that it is leaving.
+fn stating(choice: &choice::Choice) -> report::Report {
+    report::Report {
+        limit: Some((10, 1)),
+        rate_limit: Some(5.0),
+        leaving: Some("1-i".into()),
+        ..fixture::answered(choice)
+    }
+}
+
 /// The report on an attempt that the target itself has refused.
 fn refused_by_target(choice: &choice::Choice) -> report::Report {
     report::Report {
@@ -456,18 +466,12 @@
         let early = gate.begin(request()).await.unwrap();
         monoio::time::sleep(Duration::from_millis(20)).await;
         let late = gate.begin(request()).await.unwrap();
-        let stating = report::Report {
-            limit: Some((10, 1)),
-            rate_limit: Some(5.0),
-            leaving: Some("1-i".into()),
-            ..fixture::answered(&late.choice)
-        };
         let overtaken = report::Report {
             latency: Duration::from_millis(60),
             limit: Some((10, 1)),
             ..fixture::answered(&early.choice)
         };
-        gate.end(&late, Some(stating)).await;
+        gate.end(&late, Some(stating(&late.choice))).await;
         gate.end(&early, Some(overtaken)).await;
         monoio::time::sleep(Duration::from_millis(300)).await;
         gate.begin(request()).await.unwrap().choice
@@ -484,13 +488,7 @@
     let choice = fixture::with_gate(true, &fixture::view(1, 1), |gate| async move {
         let request = || fixture::request("/open", None);
         let first = gate.begin(request()).await.unwrap();
-        let stating = report::Report {
-            limit: Some((10, 1)),
-            rate_limit: Some(5.0),
-            leaving: Some("1-i".into()),
-            ..fixture::answered(&first.choice)
-        };
-        gate.end(&first, Some(stating)).await;
+        gate.end(&first, Some(stating(&first.choice))).await;
         monoio::time::sleep(Duration::from_millis(300)).await;
         let second = gate.begin(request()).await.unwrap();
         let without_target = report::Report {
@@ -512,13 +510,7 @@
     let choice = fixture::with_gate(true, &fixture::view(1, 1), |gate| async move {
         let request = || fixture::request("/open", None);
         let first = gate.begin(request()).await.unwrap();
-        let stating = report::Report {
-            limit: Some((10, 1)),
-            rate_limit: Some(5.0),
-            leaving: Some("1-i".into()),
-            ..fixture::answered(&first.choice)
-        };
-        gate.end(&first, Some(stating)).await;
+        gate.end(&first, Some(stating(&first.choice))).await;
         monoio::time::sleep(Duration::from_millis(300)).await;
         let second = gate.begin(request()).await.unwrap();
         let silent = report::Report {
